--- /dev/null
+++ b/Makefile
@@ -0,0 +1,22 @@
+.PHONY: build test lint generate demo
+
+MODULES := core crocusctl crocusd crocusfake
+
+build:
+	mkdir -p bin
+	go build -o bin/ ./crocusd ./crocusctl ./crocusfake
+
+generate:
+	go build -o bin/protoc-gen-go google.golang.org/protobuf/cmd/protoc-gen-go
+	go build -o bin/stringer golang.org/x/tools/cmd/stringer
+	PATH="$(CURDIR)/bin:$$PATH" protoc --go_out=core/encoder --go_opt=paths=source_relative -I core/encoder core/encoder/messages.proto
+	PATH="$(CURDIR)/bin:$$PATH" go generate $(foreach m,$(MODULES),./$(m)/...)
+
+lint:
+	for m in $(MODULES); do (cd $$m && golangci-lint run ./...) || exit 1; done
+
+test:
+	bash .ci/run
+
+demo: build
+	bin/crocusfake demo
--- /dev/null
+++ b/crocusctl/main.go
@@ -0,0 +1,4 @@
+// Command crocusctl is under construction.
+package main
+
+func main() {}
--- /dev/null
+++ b/crocusd/main.go
@@ -0,0 +1,4 @@
+// Command crocusd is under construction.
+package main
+
+func main() {}
--- /dev/null
+++ b/crocusfake/main.go
@@ -0,0 +1,4 @@
+// Command crocusfake is under construction.
+package main
+
+func main() {}
