recorder: decision log, ring of recent decisions and metrics

Cause: operators need each routing and admission decision as a log line, by request ID over the admin API, and as counters. Ruled out: zapr as the sink. Passing the decision as one nested object was not tried: it would tie callers of logr to one library. Before: no package. `go test -race ./recorder` passes.

--- /dev/null
+++ b/core/recorder/decision.go
@@ -0,0 +1,173 @@
+package recorder
+
+import (
+	"encoding/json"
+	"fmt"
+	"strings"
+	"time"
+
+	"crocustack/core/classifier"
+	"crocustack/core/resolver"
+)
+
+//go:generate stringer -type=Kind -trimprefix=Kind
+
+// Kind says what was decided.
+type Kind int
+
+// The kinds of decision.
+const (
+	KindRoute  Kind = iota // An upstream was chosen, or none was usable.
+	KindAdmit              // The gate admitted or queued a request.
+	KindShed               // The gate dropped a request because of load.
+	KindRefuse             // A request was refused for a reason other than load.
+	KindRetry              // Another try was allowed or denied.
+	KindVoid               // The gate was asked to void a try.
+	KindDrain              // Draining began or ended.
+	KindNote               // A release note was accepted, rejected or merged.
+	KindReader             // The node began or stopped reading the platform.
+	KindAnswer             // The caller of a request was given its outcome.
+)
+
+const numKinds = int(KindAnswer) + 1
+
+// Decision is one decision of a node.
+type Decision struct {
+	// Time is the wall clock of the node. It is only displayed, never compared
+	// between nodes.
+	Time      time.Time
+	Kind      Kind
+	RequestID string
+	Service   string
+	// KindName is the kind of the request in the release, or empty.
+	KindName string
+	Class    classifier.Class
+	// Upstream is the address of the upstream or of the peer concerned.
+	Upstream string
+	// Outcome is nil while the outcome is open.
+	Outcome resolver.Outcome
+	// Reason is taken from Outcome when it is left at ReasonNone.
+	Reason resolver.Reason
+	// Took is the time from the arrival of the request to the decision, or 0
+	// when it was not measured.
+	Took   time.Duration
+	Detail string
+}
+
+// normalize fills Reason from Outcome.
+func (d *Decision) normalize() {
+	if d.Reason != resolver.ReasonNone {
+		return
+	}
+	switch o := d.Outcome.(type) {
+	case resolver.NotRun:
+		d.Reason = o.Reason
+	case resolver.Unknown:
+		d.Reason = o.Reason
+	case resolver.Ran, nil:
+	}
+}
+
+// OutcomeName returns "NotRun", "Ran", "Unknown", or "" for nil.
+func OutcomeName(o resolver.Outcome) string {
+	switch o.(type) {
+	case resolver.NotRun:
+		return "NotRun"
+	case resolver.Ran:
+		return "Ran"
+	case resolver.Unknown:
+		return "Unknown"
+	}
+	return ""
+}
+
+func status(o resolver.Outcome) int {
+	if r, ok := o.(resolver.Ran); ok {
+		return r.Status
+	}
+	return 0
+}
+
+// Reasons returns every reason that resolver declares, in order.
+func Reasons() []resolver.Reason {
+	var rs []resolver.Reason
+	for r := resolver.ReasonNone; !strings.HasPrefix(r.String(), "Reason("); r++ {
+		rs = append(rs, r)
+	}
+	return rs
+}
+
+// wire is the JSON form of a decision, with names in place of numbers.
+type wire struct {
+	Time       time.Time
+	Kind       string
+	RequestID  string `json:",omitempty"`
+	Service    string `json:",omitempty"`
+	KindName   string `json:",omitempty"`
+	Class      string
+	Upstream   string `json:",omitempty"`
+	Outcome    string `json:",omitempty"`
+	Status     int    `json:",omitempty"`
+	Reason     string
+	TookMicros int64  `json:",omitempty"`
+	Detail     string `json:",omitempty"`
+}
+
+// MarshalJSON writes the form that the admin API returns.
+func (d Decision) MarshalJSON() ([]byte, error) {
+	d.normalize()
+	return json.Marshal(wire{
+		Time: d.Time, Kind: d.Kind.String(), RequestID: d.RequestID,
+		Service: d.Service, KindName: d.KindName, Class: d.Class.String(),
+		Upstream: d.Upstream, Outcome: OutcomeName(d.Outcome), Status: status(d.Outcome),
+		Reason: d.Reason.String(), TookMicros: d.Took.Microseconds(), Detail: d.Detail,
+	})
+}
+
+// UnmarshalJSON reads the form that MarshalJSON writes. An unknown name is an
+// error.
+func (d *Decision) UnmarshalJSON(b []byte) error {
+	var w wire
+	if err := json.Unmarshal(b, &w); err != nil {
+		return err
+	}
+	*d = Decision{
+		Time: w.Time, RequestID: w.RequestID, Service: w.Service, KindName: w.KindName,
+		Upstream: w.Upstream, Took: time.Duration(w.TookMicros) * time.Microsecond, Detail: w.Detail,
+	}
+	var err error
+	if d.Kind, err = parse(w.Kind, Kind(numKinds)); err != nil {
+		return err
+	}
+	if d.Class, err = parse(w.Class, classifier.Class(classifier.NumClasses)); err != nil {
+		return err
+	}
+	if d.Reason, err = parse(w.Reason, resolver.Reason(len(Reasons()))); err != nil {
+		return err
+	}
+	switch w.Outcome {
+	case "NotRun":
+		d.Outcome = resolver.NotRun{Reason: d.Reason}
+	case "Ran":
+		d.Outcome = resolver.Ran{Status: w.Status}
+	case "Unknown":
+		d.Outcome = resolver.Unknown{Reason: d.Reason}
+	case "":
+	default:
+		return fmt.Errorf("unknown outcome %q", w.Outcome)
+	}
+	return nil
+}
+
+// parse finds the value below end that has the name.
+func parse[T interface {
+	~int
+	fmt.Stringer
+}](name string, end T) (T, error) {
+	for v := T(0); v < end; v++ {
+		if v.String() == name {
+			return v, nil
+		}
+	}
+	return 0, fmt.Errorf("unknown %T %q", end, name)
+}
--- /dev/null
+++ b/core/recorder/recorder.go
@@ -0,0 +1,117 @@
+package recorder
+
+import (
+	"math"
+	"sync"
+
+	"github.com/go-logr/logr"
+	"github.com/rcrowley/go-metrics"
+
+	"crocustack/core/resolver"
+)
+
+// Recorder writes decisions to the log, the ring and the metrics. It is safe
+// for concurrent use.
+type Recorder struct {
+	log      logr.Logger
+	registry metrics.Registry
+
+	mu     sync.Mutex
+	recent *ring[Decision]
+	// counters and timers hold the registered metrics by key, so that the
+	// request path builds no metric name.
+	counters map[counterKey]metrics.Counter
+	timers   map[string]metrics.Timer
+}
+
+// counterKey names a counter without building its name.
+type counterKey struct {
+	kind    Kind
+	outcome string
+	reason  resolver.Reason
+}
+
+// New returns a recorder that logs decisions to log and keeps the last size
+// decisions. With logr.Discard() no line is written.
+func New(log logr.Logger, size int) *Recorder {
+	return &Recorder{
+		log:      log,
+		registry: metrics.NewRegistry(),
+		recent:   newRing[Decision](size),
+		counters: make(map[counterKey]metrics.Counter),
+		timers:   make(map[string]metrics.Timer),
+	}
+}
+
+// Registry returns the metrics. Others may register their own in it.
+func (r *Recorder) Registry() metrics.Registry { return r.registry }
+
+// Record writes one decision.
+func (r *Recorder) Record(d Decision) {
+	d.normalize()
+	r.mu.Lock()
+	r.recent.push(d)
+	counter := r.counter(counterKey{d.Kind, OutcomeName(d.Outcome), d.Reason})
+	var timer metrics.Timer
+	if d.Kind == KindAnswer && d.Took > 0 && d.KindName != "" {
+		timer = r.timer(d.KindName)
+	}
+	r.mu.Unlock()
+
+	counter.Inc(1)
+	if timer != nil {
+		timer.Update(d.Took)
+	}
+	if r.log.Enabled() {
+		writeLine(r.log, &d)
+	}
+}
+
+// counter returns the counter of a key. The caller holds mu. An answer is
+// counted by outcome and reason, every other decision by kind and reason, so
+// that Answers.* adds up to the requests that callers made.
+func (r *Recorder) counter(k counterKey) metrics.Counter {
+	if k.kind != KindAnswer {
+		k.outcome = ""
+	}
+	c, ok := r.counters[k]
+	if !ok {
+		name := "Decisions." + k.kind.String() + "." + k.reason.String()
+		if k.kind == KindAnswer {
+			name = "Answers." + k.outcome + "." + k.reason.String()
+		}
+		c = metrics.GetOrRegisterCounter(name, r.registry)
+		r.counters[k] = c
+	}
+	return c
+}
+
+// timer returns the timer of a request kind. The caller holds mu.
+func (r *Recorder) timer(kindName string) metrics.Timer {
+	t, ok := r.timers[kindName]
+	if !ok {
+		t = metrics.GetOrRegisterTimer("Time."+kindName, r.registry)
+		r.timers[kindName] = t
+	}
+	return t
+}
+
+// Filter selects recent decisions.
+type Filter struct {
+	// RequestID selects the decisions of one request; empty selects all.
+	RequestID string
+	// Limit bounds the number of decisions; 0 or less sets no bound.
+	Limit int
+}
+
+// Recent returns the decisions that the filter selects, the newest first.
+func (r *Recorder) Recent(f Filter) []Decision {
+	if f.Limit <= 0 {
+		f.Limit = math.MaxInt
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.recent.last(f.Limit, func(d *Decision) bool {
+		return f.RequestID == "" || d.RequestID == f.RequestID
+	})
+}
