configurer: settings of a node from YAML

Cause: a node needs its settings with every fault of a file reported at once, and operators need a table of settings that can't differ from the code. Ruled out: the YAML library's strict mode, which stops at the first unknown field. Before: no package. Conclusion: one table drives defaults, checks and docs/OPERATIONS.md. MaxRecords 50,000 and MaxAnswerBytes 32 MB are chosen, not measured.

--- /dev/null
+++ b/core/configurer/settings.go
@@ -0,0 +1,123 @@
+package configurer
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/dustin/go-humanize"
+	"github.com/goccy/go-yaml"
+)
+
+// Settings holds the settings of one node. Table describes each of them.
+type Settings struct {
+	Node     Node     `yaml:"Node"`
+	Backend  Backend  `yaml:"Backend"`
+	Platform Platform `yaml:"Platform"`
+	// Seeds are link addresses of peers to ask for state at startup.
+	Seeds        []string      `yaml:"Seeds"`
+	Policy       Policy        `yaml:"Policy"`
+	DrainTimeout time.Duration `yaml:"DrainTimeout"`
+	Limits       Limits        `yaml:"Limits"`
+	Timing       Timing        `yaml:"Timing"`
+	Log          Log           `yaml:"Log"`
+}
+
+// Node says who the node is and where it listens.
+type Node struct {
+	Service  string `yaml:"Service"`
+	Domain   string `yaml:"Domain"`
+	Region   string `yaml:"Region"`
+	Link     string `yaml:"Link"`
+	Entry    string `yaml:"Entry"`
+	Outbound string `yaml:"Outbound"`
+	Admin    string `yaml:"Admin"`
+}
+
+// Backend describes the backend server next to the node.
+type Backend struct {
+	URL        string `yaml:"URL"`
+	HealthPath string `yaml:"HealthPath"`
+	// SlotsHint replaces the slots of the release note when it is above 0.
+	SlotsHint int `yaml:"SlotsHint"`
+}
+
+// Platform says where release notes and instance lists are read.
+type Platform struct {
+	URL string `yaml:"URL"`
+}
+
+// Limits bounds memory.
+type Limits struct {
+	MaxBodyBytes    Bytes         `yaml:"MaxBodyBytes"`
+	BufferBytes     Bytes         `yaml:"BufferBytes"`
+	HoldAnswerBytes Bytes         `yaml:"HoldAnswerBytes"`
+	MaxRecords      int           `yaml:"MaxRecords"`
+	MaxAnswerBytes  Bytes         `yaml:"MaxAnswerBytes"`
+	TicketLifetime  time.Duration `yaml:"TicketLifetime"`
+}
+
+// Timing holds intervals and time-outs.
+type Timing struct {
+	SilentAfter    time.Duration `yaml:"SilentAfter"`
+	AbandonAfter   time.Duration `yaml:"AbandonAfter"`
+	PauseThreshold time.Duration `yaml:"PauseThreshold"`
+	LinkIdle       time.Duration `yaml:"LinkIdle"`
+	AntiEntropy    time.Duration `yaml:"AntiEntropy"`
+	WatchWait      time.Duration `yaml:"WatchWait"`
+}
+
+// Log says what is logged and how.
+type Log struct {
+	Level     string `yaml:"Level"`
+	Format    string `yaml:"Format"`
+	Decisions bool   `yaml:"Decisions"`
+}
+
+//go:generate stringer -type=Policy -trimprefix=Policy
+
+// Policy selects how a node treats requests.
+type Policy int
+
+// The policies.
+const (
+	PolicyAdaptive    Policy = iota // Everything that the design page describes.
+	PolicyPassThrough               // Fixed retries at each hop, no limits, no priority; the baseline of experiments.
+)
+
+const numPolicies = int(PolicyPassThrough) + 1
+
+// UnmarshalYAML reads the name of a policy.
+func (p *Policy) UnmarshalYAML(b []byte) error {
+	var s string
+	if err := yaml.Unmarshal(b, &s); err != nil {
+		return err
+	}
+	for v := range Policy(numPolicies) {
+		if v.String() == s {
+			*p = v
+			return nil
+		}
+	}
+	return fmt.Errorf("unknown policy %q, want Adaptive or PassThrough", s)
+}
+
+// Bytes is a number of bytes. In YAML it is a number or a text such as 64MB
+// (1,000,000 bytes each) or 64MiB (1,048,576 bytes each).
+type Bytes int64
+
+// String writes the size with a decimal unit.
+func (n Bytes) String() string { return humanize.Bytes(uint64(n)) }
+
+// UnmarshalYAML reads a number of bytes with or without a unit.
+func (n *Bytes) UnmarshalYAML(b []byte) error {
+	var s string
+	if err := yaml.Unmarshal(b, &s); err != nil {
+		return err
+	}
+	v, err := humanize.ParseBytes(s)
+	if err != nil || v > 1<<62 {
+		return fmt.Errorf("expected a size such as 64MB, found %q", s)
+	}
+	*n = Bytes(v)
+	return nil
+}
--- /dev/null
+++ b/core/configurer/table.go
@@ -0,0 +1,226 @@
+package configurer
+
+import (
+	"cmp"
+	"fmt"
+	"net"
+	"net/netip"
+	"net/url"
+	"regexp"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// Setting describes one setting. Load, its checks and the table in
+// docs/OPERATIONS.md all come from it.
+type Setting struct {
+	// Name is the path of the setting, such as Limits.MaxBodyBytes.
+	Name, Unit string
+	// Default is empty for a required setting.
+	Default string
+	Range   string
+	About   string
+	// setDefault writes the default.
+	setDefault func(*Settings)
+	// check returns what is wrong with the value, or an empty string.
+	check func(*Settings) string
+}
+
+// Choices of the text settings.
+var (
+	LogLevels  = []string{"Error", "Info", "Debug"}
+	LogFormats = []string{"JSON", "Console"}
+)
+
+// Table returns all settings in the order of the file.
+func Table() []Setting { return slices.Clone(table) }
+
+var table = []Setting{
+	required("Node.Service", "name", func(s *Settings) *string { return &s.Node.Service }, checkName,
+		"Service that the backend server is an instance of."),
+	required("Node.Domain", "name", func(s *Settings) *string { return &s.Node.Domain }, checkName,
+		"Failure domain of the instance; it names the platform key instances/<domain>."),
+	required("Node.Region", "name", func(s *Settings) *string { return &s.Node.Region }, checkName,
+		"Region of the failure domain."),
+	required("Node.Link", "host:port", func(s *Settings) *string { return &s.Node.Link }, checkLink,
+		"Address for links from other nodes, as in the instance list. Peers dial it, so the host can't be left out."),
+	required("Node.Entry", "host:port", func(s *Settings) *string { return &s.Node.Entry }, checkListen,
+		"Listener for callers."),
+	required("Node.Outbound", "host:port", func(s *Settings) *string { return &s.Node.Outbound }, checkListen,
+		"Listener for calls that the backend server makes to other services."),
+	required("Node.Admin", "host:port", func(s *Settings) *string { return &s.Node.Admin }, checkListen,
+		"Listener of the admin API."),
+	required("Backend.URL", "URL", func(s *Settings) *string { return &s.Backend.URL }, checkOrigin,
+		"Address of the backend server, without a path."),
+	optional("Backend.HealthPath", "path", "/health", func(s *Settings) *string { return &s.Backend.HealthPath }, checkPath, "begins with /",
+		"Health endpoint of the backend server."),
+	ordered("Backend.SlotsHint", "requests", func(s *Settings) *int { return &s.Backend.SlotsHint }, 0, 0, 100_000, strconv.Itoa,
+		"Slots of this instance in place of the release note's; 0 takes the note's."),
+	required("Platform.URL", "URL", func(s *Settings) *string { return &s.Platform.URL }, checkOrigin,
+		"Address of the configuration service, without a path."),
+	{Name: "Seeds", Unit: "list of host:port", Default: "none", Range: "host and port each",
+		About:      "Link addresses of peers that are asked for state at startup when the platform is down.",
+		setDefault: func(*Settings) {}, check: func(*Settings) string { return "" }},
+	{Name: "Policy", Unit: "name", Default: PolicyAdaptive.String(), Range: "Adaptive, PassThrough",
+		About:      "PassThrough turns limits, priority and shared retry allowances off; it is the baseline of experiments.",
+		setDefault: func(s *Settings) { s.Policy = PolicyAdaptive }, check: func(*Settings) string { return "" }},
+	duration("DrainTimeout", func(s *Settings) *time.Duration { return &s.DrainTimeout }, 30*time.Second, 100*time.Millisecond, 10*time.Minute,
+		"Longest time that a planned stop waits for running requests."),
+
+	size("Limits.MaxBodyBytes", func(s *Settings) *Bytes { return &s.Limits.MaxBodyBytes }, 16e6, 1e3, 1e9,
+		"Largest request body; a larger one is answered 413."),
+	size("Limits.BufferBytes", func(s *Settings) *Bytes { return &s.Limits.BufferBytes }, 64e6, 1e3, 16e9,
+		"Request bodies held at one time; over it the answer is 503 BufferFull. At least Limits.MaxBodyBytes."),
+	size("Limits.HoldAnswerBytes", func(s *Settings) *Bytes { return &s.Limits.HoldAnswerBytes }, 256e3, 0, 64e6,
+		"Responses up to this size are held until complete; longer ones are streamed."),
+	ordered("Limits.MaxRecords", "records", func(s *Settings) *int { return &s.Limits.MaxRecords }, 50_000, 100, 10_000_000, strconv.Itoa,
+		"Attempts, keys and tickets that the gate remembers. Over it the oldest finished ones become Settled."),
+	size("Limits.MaxAnswerBytes", func(s *Settings) *Bytes { return &s.Limits.MaxAnswerBytes }, 32e6, 0, 16e9,
+		"Responses that the gate keeps for replays, in total."),
+	duration("Limits.TicketLifetime", func(s *Settings) *time.Duration { return &s.Limits.TicketLifetime }, 10*time.Minute, time.Second, 24*time.Hour,
+		"Time within which a ticket can be used, on the clock of the instance that minted it."),
+
+	duration("Timing.SilentAfter", func(s *Settings) *time.Duration { return &s.Timing.SilentAfter }, 300*time.Millisecond, 10*time.Millisecond, time.Minute,
+		"A link with pending requests is pinged after this time without input."),
+	duration("Timing.AbandonAfter", func(s *Settings) *time.Duration { return &s.Timing.AbandonAfter }, 700*time.Millisecond, 10*time.Millisecond, time.Minute,
+		"A pinged link is closed after this further time without input."),
+	duration("Timing.PauseThreshold", func(s *Settings) *time.Duration { return &s.Timing.PauseThreshold }, 300*time.Millisecond, 20*time.Millisecond, time.Minute,
+		"Gap between two ticks from which the process counts as paused."),
+	duration("Timing.LinkIdle", func(s *Settings) *time.Duration { return &s.Timing.LinkIdle }, 5*time.Minute, time.Second, 24*time.Hour,
+		"A link without streams is closed after this time."),
+	duration("Timing.AntiEntropy", func(s *Settings) *time.Duration { return &s.Timing.AntiEntropy }, time.Second, 50*time.Millisecond, 10*time.Minute,
+		"Interval of the digest comparison with one random peer."),
+	duration("Timing.WatchWait", func(s *Settings) *time.Duration { return &s.Timing.WatchWait }, 30*time.Second, 100*time.Millisecond, 10*time.Minute,
+		"Longest wait of one watch of a platform key."),
+
+	optional("Log.Level", "name", "Info", func(s *Settings) *string { return &s.Log.Level }, oneOf(LogLevels), strings.Join(LogLevels, ", "),
+		"Least severe lines that are logged. Decision lines don't depend on it."),
+	optional("Log.Format", "name", "JSON", func(s *Settings) *string { return &s.Log.Format }, oneOf(LogFormats), strings.Join(LogFormats, ", "),
+		"Form of the log lines."),
+	{Name: "Log.Decisions", Unit: "true or false", Default: "true", Range: "true, false",
+		About:      "Write one line for each decision.",
+		setDefault: func(s *Settings) { s.Log.Decisions = true }, check: func(*Settings) string { return "" }},
+}
+
+func required(name, unit string, field func(*Settings) *string, check func(string) string, about string) Setting {
+	return Setting{Name: name, Unit: unit, Range: "required", About: about,
+		setDefault: func(*Settings) {},
+		check: func(s *Settings) string {
+			if *field(s) == "" {
+				return "a value is required"
+			}
+			return check(*field(s))
+		}}
+}
+
+func optional(name, unit, def string, field func(*Settings) *string, check func(string) string, rng, about string) Setting {
+	return Setting{Name: name, Unit: unit, Default: def, Range: rng, About: about,
+		setDefault: func(s *Settings) { *field(s) = def },
+		check:      func(s *Settings) string { return check(*field(s)) }}
+}
+
+func ordered[T cmp.Ordered](name, unit string, field func(*Settings) *T, def, low, high T, format func(T) string, about string) Setting {
+	return Setting{Name: name, Unit: unit, Default: format(def), Range: format(low) + " to " + format(high), About: about,
+		setDefault: func(s *Settings) { *field(s) = def },
+		check: func(s *Settings) string {
+			if v := *field(s); v < low || v > high {
+				return fmt.Sprintf("must be %s to %s, is %s", format(low), format(high), format(v))
+			}
+			return ""
+		}}
+}
+
+func duration(name string, field func(*Settings) *time.Duration, def, low, high time.Duration, about string) Setting {
+	return ordered(name, "duration", field, def, low, high, formatDuration, about)
+}
+
+func size(name string, field func(*Settings) *Bytes, def, low, high Bytes, about string) Setting {
+	return ordered(name, "bytes", field, def, low, high, Bytes.String, about)
+}
+
+// formatDuration writes 10m in place of 10m0s.
+func formatDuration(d time.Duration) string {
+	s := d.String()
+	if strings.HasSuffix(s, "m0s") {
+		s = strings.TrimSuffix(s, "0s")
+	}
+	if strings.HasSuffix(s, "h0m") {
+		s = strings.TrimSuffix(s, "0m")
+	}
+	return s
+}
+
+// A name is part of URL paths, platform keys and metric names.
+var namePattern = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._-]{0,99}$`)
+
+func checkName(v string) string {
+	if !namePattern.MatchString(v) {
+		return "must be 1 to 100 letters, digits, dots, dashes or underscores, and begin with a letter or digit"
+	}
+	return ""
+}
+
+func hasPortZero(v string) bool {
+	_, port, err := net.SplitHostPort(v)
+	return err == nil && port == "0"
+}
+
+// checkListen accepts port 0, with which the kernel assigns a port.
+func checkListen(v string) string {
+	_, port, err := net.SplitHostPort(v)
+	if err == nil {
+		_, err = strconv.ParseUint(port, 10, 16)
+	}
+	if err != nil {
+		return fmt.Sprintf("expected host:port, found %q", v)
+	}
+	return ""
+}
+
+func checkLink(v string) string {
+	if msg := checkListen(v); msg != "" {
+		return msg
+	}
+	host, _, _ := net.SplitHostPort(v)
+	if ip, err := netip.ParseAddr(host); host == "" || (err == nil && ip.IsUnspecified()) {
+		return fmt.Sprintf("peers can't dial the host of %q", v)
+	}
+	return ""
+}
+
+func checkOrigin(v string) string {
+	u, err := url.Parse(v)
+	if err != nil || (u.Scheme != "http" && u.Scheme != "https") || u.Host == "" ||
+		u.User != nil || strings.Trim(u.Path, "/") != "" || u.RawQuery != "" || u.Fragment != "" {
+		return fmt.Sprintf("expected a URL such as http://127.0.0.1:8080, found %q", v)
+	}
+	return ""
+}
+
+func checkPath(v string) string {
+	if !strings.HasPrefix(v, "/") {
+		return "must begin with /"
+	}
+	return ""
+}
+
+func oneOf(names []string) func(string) string {
+	return func(v string) string {
+		if !slices.Contains(names, v) {
+			return fmt.Sprintf("must be one of %s, is %q", strings.Join(names, ", "), v)
+		}
+		return ""
+	}
+}
+
+// Markdown returns the settings as a table for docs/OPERATIONS.md.
+func Markdown() string {
+	var b strings.Builder
+	b.WriteString("| setting | unit | default | range | meaning |\n|---|---|---|---|---|\n")
+	for _, s := range table {
+		fmt.Fprintf(&b, "| `%s` | %s | %s | %s | %s |\n", s.Name, s.Unit, s.Default, s.Range, s.About)
+	}
+	return b.String()
+}
