configurer: names follow the rule of release notes

Cause: a service name that settings accept and no note can hold would start a node that never gets a request. Ruled out: exporting the pattern of releaser; configurer would then depend on it for one expression. Before: dots, underscores and upper case were accepted. After: `go test ./configurer` passes. Conclusion: 1 to 63 lower case letters, digits and inner hyphens.

--- a/core/configurer/table.go
+++ b/core/configurer/table.go
@@ -152,12 +152,13 @@
 	return s
 }
 
-// A name is part of URL paths, platform keys and metric names.
-var namePattern = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._-]{0,99}$`)
+// Release notes have the same rule for names. A name is part of URL paths,
+// platform keys and metric names.
+var namePattern = regexp.MustCompile(`^[a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?$`)
 
 func checkName(v string) string {
 	if !namePattern.MatchString(v) {
-		return "must be 1 to 100 letters, digits, dots, dashes or underscores, and begin with a letter or digit"
+		return "must be 1 to 63 lower case letters, digits and inner hyphens"
 	}
 	return ""
 }
