releaser: notes, mergeable catalogue, views and the platform document

Before: no package; reporter placed range faults at the key and type mismatches at the value, now both at the value.

Conclusion: the catalogue is a join semilattice including tombstones and note headers; headers make concurrent notes and gaps visible after all their items are overwritten.

--- /dev/null
+++ b/core/releaser/catalogue.go
@@ -0,0 +1,201 @@
+package releaser
+
+import (
+	"cmp"
+	"encoding/json"
+	"maps"
+	"slices"
+	"strings"
+
+	"crocustack/core/classifier"
+)
+
+// HeaderWindow is the number of most recent note numbers whose headers are
+// kept. At 1,300 notes a day it covers an hour-long partition with a margin.
+const HeaderWindow = 64
+
+// Catalogue is the mergeable state of all releases. It is immutable and safe
+// for concurrent use. With is a join: commutative, associative and idempotent.
+type Catalogue struct {
+	items map[string]Item
+	// sections holds the XOR of the hashes of each section's items, so that a
+	// change costs one hash.
+	sections map[string]uint64
+	digest   uint64
+	highest  Stamp
+}
+
+// With joins items into the catalogue and returns those that changed it.
+// Headers outside the window are dropped; the window only moves up, so the
+// result does not depend on the order of arrival.
+func (c Catalogue) With(items ...Item) (Catalogue, []Item) {
+	out := c
+	changed := make(map[string]bool)
+	for _, i := range items {
+		old, ok := out.items[i.Name]
+		if ok && i.compare(old) <= 0 {
+			continue
+		}
+		if i.Section == HeadersSection && !inWindow(i.Stamp.Number, out.highest.Number) {
+			continue
+		}
+		if len(changed) == 0 {
+			out.items, out.sections = maps.Clone(c.items), maps.Clone(c.sections)
+			if out.items == nil {
+				out.items, out.sections = make(map[string]Item), make(map[string]uint64)
+			}
+		}
+		if ok {
+			out.toggle(old)
+		}
+		changed[i.Name] = true
+		out.items[i.Name] = i
+		out.toggle(i)
+		if i.Stamp.Compare(out.highest) > 0 {
+			out.highest = i.Stamp
+		}
+	}
+	if out.highest.Number > c.highest.Number {
+		for name, i := range out.items {
+			if i.Section == HeadersSection && !inWindow(i.Stamp.Number, out.highest.Number) {
+				out.toggle(i)
+				delete(out.items, name)
+				delete(changed, name)
+			}
+		}
+	}
+	var list []Item
+	for _, name := range slices.Sorted(maps.Keys(changed)) {
+		list = append(list, out.items[name])
+	}
+	return out, list
+}
+
+func inWindow(number, highest uint64) bool { return number+HeaderWindow > highest }
+
+func (c *Catalogue) toggle(i Item) {
+	h := i.hash()
+	c.digest ^= h
+	c.sections[i.Section] ^= h
+	if c.sections[i.Section] == 0 {
+		delete(c.sections, i.Section)
+	}
+}
+
+// Digest is equal for equal catalogues.
+func (c Catalogue) Digest() uint64 { return c.digest }
+
+// Sections returns the digest of each section.
+func (c Catalogue) Sections() map[string]uint64 { return maps.Clone(c.sections) }
+
+// Section returns the items of a section, sorted by name.
+func (c Catalogue) Section(name string) []Item {
+	return c.filter(func(i Item) bool { return i.Section == name })
+}
+
+// Items returns all items, sorted by name.
+func (c Catalogue) Items() []Item { return c.filter(func(Item) bool { return true }) }
+
+// Item returns one item by name.
+func (c Catalogue) Item(name string) (Item, bool) {
+	i, ok := c.items[name]
+	return i, ok
+}
+
+func (c Catalogue) filter(keep func(Item) bool) []Item {
+	var out []Item
+	for _, i := range c.items {
+		if keep(i) {
+			out = append(out, i)
+		}
+	}
+	slices.SortFunc(out, func(a, b Item) int { return cmp.Compare(a.Name, b.Name) })
+	return out
+}
+
+// Number returns the highest stamp; both values are 0 for an empty catalogue.
+func (c Catalogue) Number() (number, digest uint64) { return c.highest.Number, c.highest.Digest }
+
+// Conflicts returns the stamps of concurrent notes, in order: all notes within
+// the header window that share their number with another note.
+func (c Catalogue) Conflicts() []Stamp {
+	var out []Stamp
+	headers := c.headers()
+	for i, h := range headers {
+		if (i > 0 && headers[i-1].Stamp.Number == h.Stamp.Number) || (i+1 < len(headers) && headers[i+1].Stamp.Number == h.Stamp.Number) {
+			out = append(out, h.Stamp)
+		}
+	}
+	return out
+}
+
+// Gaps returns the predecessors within the header window that some note names
+// and that are not known here.
+func (c Catalogue) Gaps() []Predecessor {
+	missing := make(map[Predecessor]bool)
+	for _, h := range c.headers() {
+		var w headerWire
+		if err := json.Unmarshal([]byte(h.Value), &w); err != nil {
+			continue
+		}
+		d, _ := ParseDigest(w.Predecessor.Digest)
+		p := Predecessor{Number: w.Predecessor.Number, Digest: d}
+		if p.Number == 0 || !inWindow(p.Number, c.highest.Number) {
+			continue
+		}
+		if _, ok := c.items[headerPrefix+FormatDigest(p.Number)+FormatDigest(p.Digest)]; !ok {
+			missing[p] = true
+		}
+	}
+	return slices.SortedFunc(maps.Keys(missing), func(a, b Predecessor) int {
+		return cmp.Or(cmp.Compare(a.Number, b.Number), cmp.Compare(a.Digest, b.Digest))
+	})
+}
+
+// headers returns the note headers ordered by stamp; fixed-width hexadecimal
+// names sort that way.
+func (c Catalogue) headers() []Item { return c.Section(HeadersSection) }
+
+// View is the read side of a catalogue. Its maps must not be modified.
+type View struct {
+	Table    classifier.Table
+	Services map[string]Service
+	Kinds    map[string]classifier.Kind
+	Domains  map[string]Domain
+	// Number and Digest are the highest stamp in force.
+	Number, Digest uint64
+	// Conflicts lists concurrent notes, Gaps lists missing predecessors.
+	Conflicts []Stamp
+	Gaps      []Predecessor
+}
+
+// View builds the read side. Kinds of services that are not in force are left
+// out, because a withdrawn service answers nothing.
+func (c Catalogue) View() View {
+	v := View{
+		Services: make(map[string]Service), Kinds: make(map[string]classifier.Kind), Domains: make(map[string]Domain),
+		Number: c.highest.Number, Digest: c.highest.Digest, Conflicts: c.Conflicts(), Gaps: c.Gaps(),
+	}
+	for _, i := range c.items {
+		if i.Withdrawn {
+			continue
+		}
+		switch {
+		case strings.HasPrefix(i.Name, servicePrefix):
+			s := parseService(i.Value)
+			v.Services[s.Name] = s
+		case strings.HasPrefix(i.Name, kindPrefix):
+			k := parseKind(i.Value)
+			v.Kinds[k.Name] = k
+		case strings.HasPrefix(i.Name, domainPrefix):
+			d := parseDomain(i.Value)
+			v.Domains[d.Name] = d
+		}
+	}
+	maps.DeleteFunc(v.Kinds, func(_ string, k classifier.Kind) bool {
+		_, ok := v.Services[k.Service]
+		return !ok
+	})
+	v.Table = classifier.NewTable(slices.Collect(maps.Values(v.Kinds)))
+	return v
+}
--- /dev/null
+++ b/core/releaser/document.go
@@ -0,0 +1,175 @@
+package releaser
+
+import (
+	"bytes"
+	"encoding/json"
+	"strconv"
+
+	"crocustack/core/classifier"
+	"crocustack/core/reporter"
+)
+
+// MaxDocument is the largest value that the platform stores.
+const MaxDocument = 1 << 20
+
+// documentWire is the value of the platform key release/current.
+type documentWire struct {
+	Note       noteWire   `yaml:"Note"`
+	NoteDigest string     `yaml:"NoteDigest"`
+	Catalogue  []itemWire `yaml:"Catalogue"`
+}
+
+// itemWire holds at most one of the values; none for a tombstone.
+type itemWire struct {
+	Name      string       `yaml:"Name"`
+	Number    uint64       `yaml:"Number"`
+	Digest    string       `yaml:"Digest"`
+	Withdrawn bool         `yaml:"Withdrawn" json:",omitempty"`
+	Service   *serviceWire `yaml:"Service" json:",omitempty"`
+	Kind      *kindWire    `yaml:"Kind" json:",omitempty"`
+	Domain    *domainWire  `yaml:"Domain" json:",omitempty"`
+	Header    *headerWire  `yaml:"Header" json:",omitempty"`
+}
+
+// Document returns the value of release/current in JSON, which is also valid
+// YAML: the note, its digest and the resulting catalogue with the stamp of each
+// item.
+func Document(n Note, c Catalogue) []byte {
+	c, _ = c.With(n.Items()...)
+	d := documentWire{Note: wireOfNote(n), NoteDigest: FormatDigest(n.Digest())}
+	for _, i := range c.Items() {
+		w := itemWire{Name: i.Name, Number: i.Stamp.Number, Digest: FormatDigest(i.Stamp.Digest), Withdrawn: i.Withdrawn}
+		if !i.Withdrawn {
+			var v any
+			switch i.Section {
+			case HeadersSection:
+				w.Header = &headerWire{}
+				v = w.Header
+			case DomainsSection:
+				w.Domain = &domainWire{}
+				v = w.Domain
+			default:
+				if len(i.Name) > len(kindPrefix) && i.Name[:len(kindPrefix)] == kindPrefix {
+					w.Kind = &kindWire{}
+					v = w.Kind
+				} else {
+					w.Service = &serviceWire{}
+					v = w.Service
+				}
+			}
+			mustUnmarshal(i.Value, v)
+		}
+		d.Catalogue = append(d.Catalogue, w)
+	}
+	b, err := json.MarshalIndent(d, "", " ")
+	if err != nil {
+		panic(err) // The wire types hold strings, integers and finite floats only.
+	}
+	return append(b, '\n')
+}
+
+// ParseDocument parses the value of release/current. The catalogue it returns
+// always contains the note. The error is a reporter.Findings.
+func ParseDocument(b []byte) (Note, Catalogue, error) {
+	const name = "release/current"
+	if len(b) > MaxDocument {
+		return Note{}, Catalogue{}, reporter.Findings{{File: name, Message: "larger than " + strconv.Itoa(MaxDocument) + " bytes"}}
+	}
+	var d documentWire
+	// The JSON decoder takes a tenth of the time and memory of the YAML parser
+	// but accepts more and has no positions. It is trusted only when rendering
+	// its result gives the same bytes.
+	if json.Unmarshal(b, &d) == nil {
+		if n, c, err := d.parse(reporter.NewCollector(name)); err == nil && bytes.Equal(Document(n, c), b) {
+			return n, c, nil
+		}
+	}
+	d = documentWire{}
+	return d.parse(reporter.Decode(name, b, &d))
+}
+
+func (d *documentWire) parse(c *reporter.Collector) (Note, Catalogue, error) {
+	n := d.Note.note(c, "Note.")
+	if got, ok := ParseDigest(d.NoteDigest); !ok || (c.Err() == nil && got != n.Digest()) {
+		c.Addf("NoteDigest", "%q does not match the note, whose digest is %s", d.NoteDigest, FormatDigest(n.Digest()))
+	}
+	seen := make(map[string]bool)
+	items := make([]Item, 0, len(d.Catalogue))
+	for k, w := range d.Catalogue {
+		at := "Catalogue[" + strconv.Itoa(k) + "]"
+		i := w.item(c, at+".")
+		if seen[w.Name] {
+			c.Addf(at+".Name", "%q appears twice", w.Name)
+		}
+		seen[w.Name] = true
+		items = append(items, i)
+	}
+	if err := c.Err(); err != nil {
+		return Note{}, Catalogue{}, err
+	}
+	catalogue, _ := Catalogue{}.With(append(items, n.Items()...)...)
+	return n, catalogue, nil
+}
+
+func (w itemWire) item(c *reporter.Collector, at string) Item {
+	i := Item{Name: w.Name, Stamp: Stamp{Number: w.Number}, Withdrawn: w.Withdrawn}
+	var ok bool
+	if i.Stamp.Digest, ok = ParseDigest(w.Digest); !ok {
+		c.Addf(at+"Digest", "%q is not 16 hexadecimal digits in lower case", w.Digest)
+	}
+	values := 0
+	if w.Service != nil {
+		s := w.Service.service(c, at+"Service.")
+		i.Section, i.Value = s.Name, string(mustMarshal(wireOfService(s)))
+		values++
+	}
+	if w.Kind != nil {
+		k := w.Kind.kind(c, at+"Kind.")
+		i.Section, i.Value = k.Service, string(mustMarshal(wireOfKind(k)))
+		values++
+	}
+	if w.Domain != nil {
+		i.Section, i.Value = DomainsSection, string(mustMarshal(domainWire(w.Domain.domain(c, at+"Domain."))))
+		values++
+	}
+	if w.Header != nil {
+		i.Section = HeadersSection
+		i.Value = string(mustMarshal(headerWire{Predecessor: wireOfPredecessor(w.Header.Predecessor.predecessor(c, at+"Header.Predecessor."))}))
+		values++
+	}
+	if w.Withdrawn {
+		i.Section = WithdrawnSection
+	}
+	if (values == 1) == w.Withdrawn || values > 1 {
+		c.Addf(at+"Name", "exactly one of Withdrawn, Service, Kind, Domain and Header is needed")
+		return i
+	}
+	if err := i.check(); err != nil {
+		c.Addf(at+"Name", "%v", err)
+	}
+	return i
+}
+
+func mustUnmarshal(value string, v any) {
+	if err := json.Unmarshal([]byte(value), v); err != nil {
+		panic(err) // Items are checked before they enter a catalogue.
+	}
+}
+
+func parseService(value string) Service {
+	var w serviceWire
+	mustUnmarshal(value, &w)
+	return w.service(reporter.NewCollector(""), "")
+}
+
+func parseKind(value string) classifier.Kind {
+	var w kindWire
+	mustUnmarshal(value, &w)
+	return w.kind(reporter.NewCollector(""), "")
+}
+
+func parseDomain(value string) Domain {
+	var w domainWire
+	mustUnmarshal(value, &w)
+	return Domain(w)
+}
--- /dev/null
+++ b/core/releaser/note.go
@@ -0,0 +1,148 @@
+package releaser
+
+import (
+	"cmp"
+	"encoding/json"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"crocustack/core/classifier"
+	"crocustack/core/reporter"
+)
+
+// Service is a service and its limits.
+type Service struct {
+	Name string
+	// Slots is the upper bound of runs in flight at one upstream.
+	Slots int
+	// Connections is the connection limit of one upstream.
+	Connections int
+	// Calls lists the services that this one calls.
+	Calls []string
+	// RetryRatio is the share of first attempts that may be retried.
+	RetryRatio float64
+	// QueueTime and QueueLength bound the admission queue of one upstream.
+	QueueTime   time.Duration
+	QueueLength int
+}
+
+// Domain is a failure domain.
+type Domain struct {
+	Name   string
+	Region string
+}
+
+// Predecessor names the note that the operator started from. Both fields are
+// zero for the first note.
+type Predecessor struct {
+	Number, Digest uint64
+}
+
+// Section holds the items that a note adds or changes.
+type Section struct {
+	Services []Service
+	Kinds    []classifier.Kind
+	Domains  []Domain
+}
+
+// Withdrawal names the items that a note removes.
+type Withdrawal struct {
+	Services, Kinds, Domains []string
+}
+
+// Note is one accepted release note. Its lists are sorted by name.
+type Note struct {
+	Number         uint64
+	Predecessor    Predecessor
+	Added, Changed Section
+	Withdrawn      Withdrawal
+}
+
+// MaxNumber bounds note numbers so that they are exact in JSON consumers that
+// use floating point.
+const MaxNumber = 1 << 53
+
+// ParseNote parses a note in YAML and checks it. The result depends on b
+// alone. The error is a reporter.Findings; name is used as the file name in it.
+func ParseNote(name string, b []byte) (Note, error) {
+	var w noteWire
+	c := reporter.Decode(name, b, &w)
+	n := w.note(c, "")
+	if err := c.Err(); err != nil {
+		return Note{}, err
+	}
+	return n, nil
+}
+
+// Canonical returns the canonical JSON of the note. It is also valid YAML, and
+// ParseNote of it returns the same note.
+func (n Note) Canonical() []byte { return mustMarshal(wireOfNote(n)) }
+
+// Digest is the hash of the canonical form.
+func (n Note) Digest() uint64 { return xxhash.Sum64(n.Canonical()) }
+
+// Stamp is the stamp of all items of the note.
+func (n Note) Stamp() Stamp { return Stamp{Number: n.Number, Digest: n.Digest()} }
+
+// Items returns the items of the note, including the header that records the
+// note itself.
+func (n Note) Items() []Item {
+	stamp := n.Stamp()
+	var items []Item
+	for _, s := range []Section{n.Added, n.Changed} {
+		for _, v := range s.Services {
+			items = append(items, Item{Name: servicePrefix + v.Name, Section: v.Name, Stamp: stamp, Value: string(mustMarshal(wireOfService(v)))})
+		}
+		for _, v := range s.Kinds {
+			items = append(items, Item{Name: kindPrefix + v.Name, Section: v.Service, Stamp: stamp, Value: string(mustMarshal(wireOfKind(v)))})
+		}
+		for _, v := range s.Domains {
+			items = append(items, Item{Name: domainPrefix + v.Name, Section: DomainsSection, Stamp: stamp, Value: string(mustMarshal(domainWire(v)))})
+		}
+	}
+	for prefix, names := range map[string][]string{servicePrefix: n.Withdrawn.Services, kindPrefix: n.Withdrawn.Kinds, domainPrefix: n.Withdrawn.Domains} {
+		for _, name := range names {
+			items = append(items, Item{Name: prefix + name, Section: WithdrawnSection, Stamp: stamp, Withdrawn: true})
+		}
+	}
+	items = append(items, header(stamp, n.Predecessor))
+	slices.SortFunc(items, func(a, b Item) int { return cmp.Compare(a.Name, b.Name) })
+	return items
+}
+
+func (n *Note) normalize() {
+	for _, s := range []*Section{&n.Added, &n.Changed} {
+		slices.SortFunc(s.Services, func(a, b Service) int { return cmp.Compare(a.Name, b.Name) })
+		slices.SortFunc(s.Kinds, func(a, b classifier.Kind) int { return cmp.Compare(a.Name, b.Name) })
+		slices.SortFunc(s.Domains, func(a, b Domain) int { return cmp.Compare(a.Name, b.Name) })
+	}
+	slices.Sort(n.Withdrawn.Services)
+	slices.Sort(n.Withdrawn.Kinds)
+	slices.Sort(n.Withdrawn.Domains)
+}
+
+func mustMarshal(v any) []byte {
+	b, err := json.Marshal(v)
+	if err != nil {
+		panic(err) // The wire types hold strings, integers and finite floats only.
+	}
+	return b
+}
+
+// FormatDigest returns the 16 hexadecimal digits of a digest.
+func FormatDigest(d uint64) string {
+	s := strconv.FormatUint(d, 16)
+	return "0000000000000000"[len(s):] + s
+}
+
+// ParseDigest is the inverse of FormatDigest.
+func ParseDigest(s string) (uint64, bool) {
+	if len(s) != 16 {
+		return 0, false
+	}
+	d, err := strconv.ParseUint(s, 16, 64)
+	return d, err == nil && FormatDigest(d) == s
+}
--- a/core/reporter/collector.go
+++ b/core/reporter/collector.go
@@ -196,6 +196,9 @@
 			continue
 		}
 		c.places[f] = nodePlace(mv.Key)
+		if _, ok := mv.Value.(ast.ScalarNode); ok {
+			c.places[f] = nodePlace(mv.Value)
+		}
 		c.decode(f, mv.Value, v.Field(i))
 	}
 }
