crocusctl: check, diff, render, status, explain, top, drain, help

Cause: operators need one client to check and render release notes and to see which note is in force, why a request was shed, and how loaded nodes are. Ruled out: writing release/current from crocusctl; the platform has only reads for us. Before: an empty main. No run against a real node yet; the admin servers are stand-ins. Exit codes are 0 ok, 1 findings, differences or lag, 2 usage, 3 unreachable.

--- /dev/null
+++ b/crocusctl/internal/commander/explain.go
@@ -0,0 +1,110 @@
+package commander
+
+import (
+	"context"
+	"io"
+	"net/url"
+	"slices"
+
+	"crocustack/core/recorder"
+	"crocustack/core/resolver"
+)
+
+const explainUsage = `Collects the decisions about one request from the nodes and shows why it was routed, shed or refused. REQUEST-ID is the value of the response header Crocus-Request. Nodes keep a limited number of recent decisions; older ones are in their logs. Lines are ordered by the clock of the node that wrote them, and clocks of nodes can differ.
+
+Example: crocusctl explain 4bf92f3577b34da6 --node 10.0.1.7:7103 --node 10.0.1.8:7103`
+
+type explainCommand struct {
+	OutputOptions
+	NodeOptions
+	Args struct {
+		RequestID string `positional-arg-name:"REQUEST-ID" required:"yes"`
+	} `positional-args:"yes"`
+}
+
+// NodeDecision is a decision and the node that took it.
+type NodeDecision struct {
+	Node     string
+	Decision recorder.Decision
+}
+
+// Explanation is the output of explain.
+type Explanation struct {
+	Request string
+	// Outcome is what the caller was told; it is empty when no node holds the
+	// answer.
+	Outcome     string         `json:",omitempty"`
+	Decisions   []NodeDecision `json:",omitempty"`
+	Reasons     []Advice       `json:",omitempty"`
+	Unreachable []Unreachable  `json:",omitempty"`
+}
+
+func (c *explainCommand) run(ctx context.Context, env *environment) error {
+	addresses, err := c.addresses(ctx, env)
+	if err != nil {
+		return err
+	}
+	path := "/decisions?request=" + url.QueryEscape(c.Args.RequestID)
+	good, bad := split(fetch[[]recorder.Decision](ctx, env, c.NodeOptions, addresses, path))
+	e := explain(c.Args.RequestID, good)
+	e.Unreachable = bad
+	if err := c.write(env, e, e.table); err != nil {
+		return err
+	}
+	switch {
+	case len(bad) > 0:
+		return exitError{code: exitUnreachable}
+	case len(e.Decisions) == 0:
+		return exitError{code: exitFindings}
+	}
+	return nil
+}
+
+func explain(id string, replies []reply[[]recorder.Decision]) Explanation {
+	e := Explanation{Request: id}
+	for _, r := range replies {
+		for _, d := range r.value {
+			e.Decisions = append(e.Decisions, NodeDecision{r.address, d})
+		}
+		// Nodes send the newest first; the stable sort below keeps the order of
+		// decisions with the same time.
+		slices.Reverse(e.Decisions[len(e.Decisions)-len(r.value):])
+	}
+	slices.SortStableFunc(e.Decisions, func(a, b NodeDecision) int {
+		return a.Decision.Time.Compare(b.Decision.Time)
+	})
+	var reasons []resolver.Reason
+	for _, d := range e.Decisions {
+		if d.Decision.Kind == recorder.KindAnswer {
+			e.Outcome = recorder.OutcomeName(d.Decision.Outcome)
+		}
+		if r := d.Decision.Reason; r != resolver.ReasonNone && !slices.Contains(reasons, r) {
+			reasons = append(reasons, r)
+			e.Reasons = append(e.Reasons, AdviceFor(r))
+		}
+	}
+	return e
+}
+
+func (e Explanation) table(w io.Writer) {
+	if len(e.Decisions) > 0 {
+		row(w, "TIME", "NODE", "DECISION", "SERVICE", "KIND", "CLASS", "UPSTREAM", "OUTCOME", "REASON", "DETAIL")
+		for _, n := range e.Decisions {
+			d := n.Decision
+			row(w, d.Time.UTC().Format("15:04:05.000000"), n.Node, d.Kind, d.Service, d.KindName, d.Class,
+				d.Upstream, recorder.OutcomeName(d.Outcome), d.Reason, d.Detail)
+		}
+	}
+	switch {
+	case len(e.Decisions) == 0:
+		printf(w, "request %s: no node holds a decision about it\n", e.Request)
+	case e.Outcome == "":
+		printf(w, "request %s: no answer recorded\n", e.Request)
+	default:
+		printf(w, "request %s: %s\n", e.Request, e.Outcome)
+	}
+	for _, a := range e.Reasons {
+		printf(w, "%s: %s %s\n", a.Reason, a.Meaning, a.Action)
+	}
+	printUnreachable(w, e.Unreachable)
+}
--- a/crocusctl/main.go
+++ b/crocusctl/main.go
@@ -1,4 +1,18 @@
-// Command crocusctl is under construction.
+// Command crocusctl is the client of operators.
 package main
 
-func main() {}
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"crocustack/crocusctl/internal/commander"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	code := commander.Run(ctx, os.Args[1:], os.Stdout, os.Stderr)
+	stop()
+	os.Exit(code)
+}
