linker: yamux sessions, handshake and probes of silent links

Cause: nodes need one multiplexed connection for each pair and must find a link that swallows bytes within about a second. Ruled out: yamux keep-alive (30 s interval, 10 s timeout) and its StreamOpenTimeout (a goroutine for each stream, closes the session). Before: no links. Conclusion: probes run only while requests wait, so idle links cost nothing.

--- a/core/classifier/kind.go
+++ b/core/classifier/kind.go
@@ -90,3 +90,15 @@
 	}
 	return Kind{}, false
 }
+
+// Kind returns the kind with the name, and false when there is none.
+func (t Table) Kind(name string) (Kind, bool) {
+	for _, ks := range t.byService {
+		for _, k := range ks {
+			if k.Name == name {
+				return k, true
+			}
+		}
+	}
+	return Kind{}, false
+}
--- /dev/null
+++ b/core/linker/manager.go
@@ -0,0 +1,300 @@
+package linker
+
+import (
+	"context"
+	"io"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/go-logr/logr"
+	"github.com/hashicorp/yamux"
+	"golang.org/x/sync/singleflight"
+
+	"crocustack/core/encoder"
+)
+
+// Handler receives what peers send. Its methods are called on goroutines of
+// the link; Control is called for one message at a time of each link.
+type Handler interface {
+	// Hello describes this node for a handshake.
+	Hello() *encoder.Hello
+	// Opened is called once for each link after the handshake.
+	Opened(l *Link)
+	// Closed is called once for each opened link.
+	Closed(l *Link, err error)
+	// Stream serves one exchange; the stream is closed when it returns.
+	Stream(l *Link, s *Stream)
+	// Control serves one control message.
+	Control(l *Link, m *encoder.Control)
+}
+
+// Config holds the times of the links.
+type Config struct {
+	DialTimeout  time.Duration // Bound on connection and handshake.
+	SilentAfter  time.Duration // Without a read for so long, a link with waiting requests is probed.
+	AbandonAfter time.Duration // Without a read for so long after the probe, it is given up.
+	Idle         time.Duration // A link without exchanges for so long is closed by its dialler.
+}
+
+// DefaultConfig returns the times of docs/design.md, section 5.7.
+func DefaultConfig() Config {
+	return Config{
+		DialTimeout:  time.Second,
+		SilentAfter:  300 * time.Millisecond,
+		AbandonAfter: 700 * time.Millisecond,
+		Idle:         5 * time.Minute,
+	}
+}
+
+// Manager owns the links of one node. It is safe for concurrent use.
+type Manager struct {
+	cfg     Config
+	log     logr.Logger
+	handler Handler
+	dials   singleflight.Group
+
+	mu sync.Mutex
+	// links holds the newest link to each address; older ones stay usable
+	// until they close.
+	links map[string]*Link
+	// all holds every open link.
+	all    map[*Link]struct{}
+	closed bool
+	wg     sync.WaitGroup
+}
+
+// New returns a manager that hands what comes in to h.
+func New(cfg Config, log logr.Logger, h Handler) *Manager {
+	return &Manager{cfg: cfg, log: log, handler: h, links: make(map[string]*Link), all: make(map[*Link]struct{})}
+}
+
+// Serve accepts links until the listener is closed.
+func (m *Manager) Serve(ln net.Listener) error {
+	for {
+		conn, err := ln.Accept()
+		if err != nil {
+			if errors.Is(err, net.ErrClosed) {
+				return nil
+			}
+			return errors.Wrap(err, "accept link")
+		}
+		go func() {
+			if _, err := m.start(conn, false); err != nil {
+				m.log.V(1).Info("link refused", "Remote", conn.RemoteAddr().String(), "Error", err.Error())
+			}
+		}()
+	}
+}
+
+// Get returns a link to the address and opens one if there is none. An error
+// means that nothing was sent on behalf of the caller.
+func (m *Manager) Get(ctx context.Context, address string) (*Link, error) {
+	if l := m.Lookup(address); l != nil {
+		return l, nil
+	}
+	ch := m.dials.DoChan(address, func() (any, error) {
+		conn, err := net.DialTimeout("tcp", address, m.cfg.DialTimeout)
+		if err != nil {
+			return nil, errors.Wrap(err, "dial link")
+		}
+		return m.start(conn, true)
+	})
+	select {
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	case res := <-ch:
+		if res.Err != nil {
+			return nil, res.Err
+		}
+		return res.Val.(*Link), nil
+	}
+}
+
+// Lookup returns an open link to the address, or nil.
+func (m *Manager) Lookup(address string) *Link {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	l := m.links[address]
+	if l == nil || l.Closed() {
+		return nil
+	}
+	return l
+}
+
+// Links returns the open links.
+func (m *Manager) Links() []*Link {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	ls := make([]*Link, 0, len(m.all))
+	for l := range m.all {
+		ls = append(ls, l)
+	}
+	return ls
+}
+
+// Close closes all links and waits for their goroutines.
+func (m *Manager) Close() {
+	m.mu.Lock()
+	m.closed = true
+	m.mu.Unlock()
+	for _, l := range m.Links() {
+		_ = l.sess.Close()
+	}
+	m.wg.Wait()
+}
+
+func (m *Manager) yamuxConfig() *yamux.Config {
+	c := yamux.DefaultConfig()
+	c.EnableKeepAlive = false
+	c.StreamOpenTimeout = 0
+	c.StreamCloseTimeout = 10 * time.Second
+	c.ConnectionWriteTimeout = m.cfg.SilentAfter + m.cfg.AbandonAfter
+	c.LogOutput = io.Discard
+	return c
+}
+
+// start runs the handshake on a new connection and begins to serve it.
+func (m *Manager) start(conn net.Conn, dialed bool) (*Link, error) {
+	counting := &countingConn{Conn: conn}
+	counting.lastRead.Store(time.Now().UnixNano())
+	l := &Link{Dialed: dialed, conn: counting, Since: time.Now()}
+	l.lastUse.Store(time.Now().UnixNano())
+	deadline := time.Now().Add(m.cfg.DialTimeout)
+	_ = conn.SetDeadline(deadline)
+	if err := m.handshake(l, deadline); err != nil {
+		_ = conn.Close()
+		if l.sess != nil {
+			_ = l.sess.Close()
+		}
+		return nil, err
+	}
+	_ = conn.SetDeadline(time.Time{})
+	if !m.register(l) {
+		_ = l.sess.Close()
+		return nil, errors.New("links are closed")
+	}
+	m.handler.Opened(l)
+	go m.serveStreams(l)
+	go m.serveControl(l)
+	go m.watch(l)
+	return l, nil
+}
+
+func (m *Manager) handshake(l *Link, deadline time.Time) error {
+	var err error
+	var conn *yamux.Stream
+	if l.Dialed {
+		if l.sess, err = yamux.Client(l.conn, m.yamuxConfig()); err != nil {
+			return errors.Wrap(err, "open session")
+		}
+		conn, err = l.sess.OpenStream()
+	} else {
+		if l.sess, err = yamux.Server(l.conn, m.yamuxConfig()); err != nil {
+			return errors.Wrap(err, "open session")
+		}
+		conn, err = l.sess.AcceptStream()
+	}
+	if err != nil {
+		return errors.Wrap(err, "open control stream")
+	}
+	l.control = newStream(conn)
+	_ = l.control.SetDeadline(deadline)
+	if err := l.control.Send(m.handler.Hello()); err != nil {
+		return errors.Wrap(err, "send hello")
+	}
+	l.peer = &encoder.Hello{}
+	if err := l.control.Receive(l.peer); err != nil {
+		return errors.Wrap(err, "receive hello")
+	}
+	if l.Address() == "" {
+		return errors.New("hello without an incarnation address")
+	}
+	return errors.Wrap(l.control.SetDeadline(time.Time{}), "reset deadline")
+}
+
+func (m *Manager) register(l *Link) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.closed {
+		return false
+	}
+	m.links[l.Address()] = l
+	m.all[l] = struct{}{}
+	m.wg.Add(3)
+	return true
+}
+
+func (m *Manager) unregister(l *Link) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.links[l.Address()] == l {
+		delete(m.links, l.Address())
+	}
+	delete(m.all, l)
+}
+
+func (m *Manager) serveStreams(l *Link) {
+	defer m.wg.Done()
+	for {
+		conn, err := l.sess.AcceptStream()
+		if err != nil {
+			l.closed.Store(true)
+			m.unregister(l)
+			m.handler.Closed(l, err)
+			return
+		}
+		l.lastUse.Store(time.Now().UnixNano())
+		go func() {
+			s := newStream(conn)
+			defer func() { _ = s.Close() }()
+			m.handler.Stream(l, s)
+		}()
+	}
+}
+
+func (m *Manager) serveControl(l *Link) {
+	defer m.wg.Done()
+	for {
+		msg := &encoder.Control{}
+		if err := l.control.Receive(msg); err != nil {
+			_ = l.sess.Close()
+			return
+		}
+		m.handler.Control(l, msg)
+	}
+}
+
+// watch probes the link while requests wait on it in silence, and closes it
+// when it stays silent or idle.
+func (m *Manager) watch(l *Link) {
+	defer m.wg.Done()
+	ticker := time.NewTicker(m.cfg.SilentAfter / 3)
+	defer ticker.Stop()
+	var probedAt time.Time
+	for {
+		select {
+		case <-l.sess.CloseChan():
+			return
+		case now := <-ticker.C:
+			quiet := now.Sub(time.Unix(0, l.conn.lastRead.Load()))
+			idle := now.Sub(time.Unix(0, l.lastUse.Load()))
+			switch {
+			case l.Pending() == 0 || quiet < m.cfg.SilentAfter:
+				probedAt = time.Time{}
+			case probedAt.IsZero():
+				probedAt = now
+				go func() { _ = l.Ping() }()
+			case now.Sub(probedAt) >= m.cfg.AbandonAfter:
+				m.log.Info("link abandoned", "Peer", l.Address(), "Quiet", quiet.String(), "Pending", l.Pending())
+				l.Abandon()
+				return
+			}
+			if l.Dialed && l.Pending() == 0 && idle > m.cfg.Idle {
+				_ = l.sess.Close()
+				return
+			}
+		}
+	}
+}
