--- /dev/null
+++ b/core/budgeter/pool.go
@@ -0,0 +1,67 @@
+package budgeter
+
+import "sync"
+
+// Pool is the retry allowance of one running request: the number of additional
+// attempts that the request and everything below it may still make. It is safe
+// for concurrent use.
+type Pool struct {
+	mu sync.Mutex
+	// held + lent + spent is the initial allowance at all times. Only held may
+	// be taken; lent is out with attempts that have not been answered; spent
+	// never decreases.
+	held, lent, spent uint32
+}
+
+// NewPool returns a pool that holds initial units.
+func NewPool(initial uint32) *Pool {
+	return &Pool{held: initial}
+}
+
+// LendHalf takes half of what is held, rounded up, to be passed along with one
+// attempt. Rounding up lets a chain of calls pass on a single unit. Every share
+// must be given back by exactly one Return.
+func (p *Pool) LendHalf() uint32 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	n := p.held - p.held/2
+	p.held -= n
+	p.lent += n
+	return n
+}
+
+// Return ends the loan of one attempt. The unspent part is held again and the
+// rest is spent. Pass unspent 0 for an attempt that was never answered: its
+// share may have been spent down the tree. The values come from another node,
+// so unspent above lent counts as lent, and a share larger than all outstanding
+// loans counts as those loans; neither can create units.
+func (p *Pool) Return(lent, unspent uint32) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	lent = min(lent, p.lent)
+	unspent = min(unspent, lent)
+	p.lent -= lent
+	p.held += unspent
+	p.spent += lent - unspent
+}
+
+// Spend takes one unit for a retry and reports whether there was one. Call it
+// before the retry is sent.
+func (p *Pool) Spend() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.held == 0 {
+		return false
+	}
+	p.held--
+	p.spent++
+	return true
+}
+
+// Held returns the units that are neither lent nor spent. When the request is
+// answered, this is its unspent allowance.
+func (p *Pool) Held() uint32 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.held
+}
