tracer: tie outbound calls to running requests

Cause: allowance, class and deadline can be handed down only when the inbound request of an outbound call is known. Ruled out: traceparent alone (a trace may visit a node twice at a time) and the project's own header alone (needs a change in every backend server). Conclusion: exact token first, trace id second, no retry when neither is unique.

--- /dev/null
+++ b/crocusd/internal/tracer/registry.go
@@ -0,0 +1,134 @@
+package tracer
+
+import (
+	"strings"
+	"sync"
+	"time"
+
+	"crocustack/core/budgeter"
+	"crocustack/core/classifier"
+)
+
+// Run is an inbound request that the backend server is working on.
+type Run struct {
+	// Token is the value of Crocus-Parent; unique within the process.
+	Token string
+	// TraceID is the trace id of traceparent; 32 hex digits.
+	TraceID string
+	// RequestID is the id of the caller's request, for the decision log.
+	RequestID string
+	Kind      string
+	Class     classifier.Class
+	TreeID    uint64
+	// Depth is 0 for the request that a caller sent.
+	Depth    uint32
+	Deadline time.Time
+	// Pool holds the retries that the request may still hand down.
+	Pool *budgeter.Pool
+}
+
+// Tie is the result of a look-up: Tied, Ambiguous or Untied.
+//
+//sumtype:decl
+type Tie interface{ tie() }
+
+// Tied says that the call belongs to exactly this run.
+type Tied struct{ Run *Run }
+
+// Ambiguous says that the call belongs to one of several runs. It carries the
+// lowest class and the earliest deadline of them.
+type Ambiguous struct {
+	Class    classifier.Class
+	Deadline time.Time
+	TreeID   uint64
+	Depth    uint32
+}
+
+// Untied says that no running request fits.
+type Untied struct{}
+
+func (Tied) tie()      {}
+func (Ambiguous) tie() {}
+func (Untied) tie()    {}
+
+// Registry holds the running requests. It is safe for concurrent use.
+type Registry struct {
+	mu sync.Mutex
+	// byToken and byTrace hold the same runs; a run is in both or in neither.
+	byToken map[string]*Run
+	byTrace map[string][]*Run
+}
+
+// NewRegistry returns an empty registry.
+func NewRegistry() *Registry {
+	return &Registry{byToken: make(map[string]*Run), byTrace: make(map[string][]*Run)}
+}
+
+// Add registers a run until Remove.
+func (g *Registry) Add(r *Run) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.byToken[r.Token] = r
+	g.byTrace[r.TraceID] = append(g.byTrace[r.TraceID], r)
+}
+
+// Remove forgets a run; a call that comes later is Untied.
+func (g *Registry) Remove(r *Run) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	delete(g.byToken, r.Token)
+	runs := g.byTrace[r.TraceID]
+	for i, o := range runs {
+		if o == r {
+			runs = append(runs[:i], runs[i+1:]...)
+			break
+		}
+	}
+	if len(runs) == 0 {
+		delete(g.byTrace, r.TraceID)
+		return
+	}
+	g.byTrace[r.TraceID] = runs
+}
+
+// Find looks up the run of an outbound call by its Crocus-Parent and
+// traceparent headers; either may be empty.
+func (g *Registry) Find(parent, traceparent string) Tie {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if r, ok := g.byToken[parent]; ok {
+		return Tied{Run: r}
+	}
+	runs := g.byTrace[TraceID(traceparent)]
+	switch len(runs) {
+	case 0:
+		return Untied{}
+	case 1:
+		return Tied{Run: runs[0]}
+	}
+	a := Ambiguous{Class: runs[0].Class, Deadline: runs[0].Deadline, TreeID: runs[0].TreeID, Depth: runs[0].Depth}
+	for _, r := range runs[1:] {
+		a.Class = min(a.Class, r.Class)
+		a.Depth = max(a.Depth, r.Depth)
+		if r.Deadline.Before(a.Deadline) {
+			a.Deadline = r.Deadline
+		}
+	}
+	return a
+}
+
+// traceIDLength is the length of a trace id in traceparent (W3C Trace Context).
+const traceIDLength = 32
+
+// TraceID returns the trace id of a traceparent header (W3C Trace Context,
+// section 3.2), or "" when the header is malformed.
+func TraceID(traceparent string) string {
+	parts := strings.Split(traceparent, "-")
+	if len(parts) < 4 || len(parts[1]) != traceIDLength || strings.Trim(parts[1], "0123456789abcdef") != "" {
+		return ""
+	}
+	if strings.Trim(parts[1], "0") == "" {
+		return ""
+	}
+	return parts[1]
+}
