--- /dev/null
+++ b/crocusfake/internal/worker/answer.go
@@ -0,0 +1,40 @@
+package worker
+
+import (
+	"bytes"
+	"encoding/hex"
+	"fmt"
+	"io"
+	"math/rand/v2"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Fill returns size bytes of text that depend only on the seed text.
+func Fill(seed string, size int) []byte {
+	rng := rand.New(rand.NewPCG(xxhash.Sum64String(seed), 0))
+	raw := make([]byte, (size+1)/2+8)
+	for i := 0; i+8 <= len(raw); i += 8 {
+		v := rng.Uint64()
+		for j := range 8 {
+			raw[i+j] = byte(v >> (8 * j))
+		}
+	}
+	return []byte(hex.EncodeToString(raw)[:size])
+}
+
+// Answer returns the body of the whole and correct answer to a request. Size 0
+// stands for a length between 128 and 1,151 bytes that depends on the key.
+func Answer(service, path, key string, size int, body []byte) []byte {
+	head := fmt.Sprintf("%s %s %s %016x\n", service, path, key, xxhash.Sum64(body))
+	if size == 0 {
+		size = 128 + int(xxhash.Sum64String(key)%1024)
+	}
+	return append([]byte(head), Fill(head, size)...)
+}
+
+// NewBody returns a request body that http.Transport can't replay. Without it
+// the transport repeats a GET, or a request with Idempotency-Key, on a broken
+// kept-alive connection by itself, and the repeat is told apart from the first
+// neither in the ledger nor in the caller's record.
+func NewBody(b []byte) io.Reader { return struct{ io.Reader }{bytes.NewReader(b)} }
