loader: open-loop callers that record what they were told

Cause: goodput and false outcomes are measured at the caller. Ruled out: closed-loop callers, which slow down with the system and hide overload. Before: no stand-in. Conclusion: one HTTP request is one recorded try; request bodies can't be replayed by http.Transport.

--- /dev/null
+++ b/crocusfake/internal/loader/loader.go
@@ -0,0 +1,315 @@
+package loader
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/url"
+	"slices"
+	"strconv"
+	"sync"
+	"time"
+
+	"crocustack/crocusfake/internal/worker"
+)
+
+// maxOpen bounds the requests that are open at the same time.
+const maxOpen = 20000
+
+// Kind is one kind of request that callers send.
+type Kind struct {
+	Name    string `yaml:"Name"`
+	Class   string `yaml:"Class"`
+	Service string `yaml:"Service"`
+	Method  string `yaml:"Method"`
+	Path    string `yaml:"Path"`
+	// Share is the kind's weight among all arrivals.
+	Share   float64       `yaml:"Share"`
+	Timeout time.Duration `yaml:"Timeout"`
+	// BodySize is the length of the request body.
+	BodySize int `yaml:"BodySize"`
+	// AnswerSize is the Size of the route that answers.
+	AnswerSize int  `yaml:"AnswerSize"`
+	Ticket     bool `yaml:"Ticket"`
+	// Key sends an Idempotency-Key.
+	Key bool `yaml:"Key"`
+}
+
+// Config describes a group of callers.
+type Config struct {
+	// Name makes the keys of several loaders differ.
+	Name string `yaml:"Name"`
+	// Entries are the entry listeners that requests are spread over.
+	Entries []string `yaml:"Entries"`
+	Kinds   []Kind   `yaml:"Kinds"`
+	// Rate is the number of arrivals per second.
+	Rate float64 `yaml:"Rate"`
+	// Retries is the number of repeats after a failed try.
+	Retries int `yaml:"Retries"`
+	// Backoff is the mean wait before a repeat.
+	Backoff time.Duration `yaml:"Backoff"`
+	Seed    uint64        `yaml:"Seed"`
+}
+
+// Try is one HTTP request and what the caller was told.
+type Try struct {
+	Key        string
+	Number     int
+	Entry      string
+	Begin, End time.Time
+	// Outcome is the Crocus-Outcome header, empty when the caller was told
+	// nothing.
+	Outcome, Reason, Request string
+	// Status is 0 without an answer.
+	Status int
+	// Whole is true when all bytes of a 200 answer are as expected.
+	Whole bool
+	// Broken is true when a 200 answer ended early in a way that the caller
+	// noticed.
+	Broken bool
+	Error  string
+}
+
+// Record is one caller request with all its tries.
+type Record struct {
+	Kind, Class string
+	Offered     time.Time
+	Tries       []Try
+	// Unsent is true when the loader had too many open requests.
+	Unsent bool
+}
+
+// Good returns the time from the offer to the whole answer, and false without
+// one. Every try has the kind's timeout to itself.
+func (r Record) Good() (time.Duration, bool) {
+	if n := len(r.Tries); n > 0 && r.Tries[n-1].Whole {
+		return r.Tries[n-1].End.Sub(r.Offered), true
+	}
+	return 0, false
+}
+
+// Loader sends requests. It is safe for concurrent use.
+type Loader struct {
+	client *http.Client
+	kinds  []Kind
+	total  float64
+
+	mu      sync.Mutex
+	cfg     Config
+	rng     *rand.Rand
+	records []*Record
+	open    int
+	tickets map[string][]ticket
+}
+
+// New returns a loader that is idle until Run.
+func New(cfg Config) *Loader {
+	l := &Loader{
+		client: &http.Client{Transport: &http.Transport{
+			DialContext:         (&net.Dialer{Timeout: time.Second}).DialContext,
+			MaxIdleConnsPerHost: 1024,
+		}},
+		kinds:   cfg.Kinds,
+		cfg:     cfg,
+		rng:     rand.New(rand.NewPCG(cfg.Seed, 2)),
+		tickets: make(map[string][]ticket),
+	}
+	for _, k := range cfg.Kinds {
+		l.total += k.Share
+	}
+	return l
+}
+
+// SetRate changes the arrivals per second; 0 stops them.
+func (l *Loader) SetRate(rate float64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.cfg.Rate = rate
+}
+
+// SetRetries changes the number of repeats of requests offered from now on.
+func (l *Loader) SetRetries(n int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.cfg.Retries = n
+}
+
+// SetEntries changes the entry listeners.
+func (l *Loader) SetEntries(entries []string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.cfg.Entries = slices.Clone(entries)
+}
+
+// Records returns a copy of all records. Requests that are still open show the
+// tries made so far.
+func (l *Loader) Records() []Record {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	rs := make([]Record, 0, len(l.records))
+	for _, r := range l.records {
+		c := *r
+		c.Tries = slices.Clone(r.Tries)
+		rs = append(rs, c)
+	}
+	return rs
+}
+
+// Run offers requests until the context ends and returns when all open ones
+// are settled. Open requests are not cancelled.
+func (l *Loader) Run(ctx context.Context) {
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	next := time.Now()
+	for n := 0; ; n++ {
+		l.mu.Lock()
+		rate := l.cfg.Rate
+		gap := l.rng.ExpFloat64()
+		kind := l.pick()
+		l.mu.Unlock()
+		idle := rate <= 0
+		if idle {
+			next = time.Now().Add(5 * time.Millisecond)
+		} else {
+			next = next.Add(time.Duration(gap / rate * float64(time.Second)))
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(time.Until(next)):
+		}
+		if idle {
+			continue
+		}
+		offered := next
+		key := fmt.Sprintf("%s-%d-%d", l.cfg.Name, l.cfg.Seed, n)
+		wg.Go(func() { l.request(kind, key, offered) })
+	}
+}
+
+// pick needs the mutex.
+func (l *Loader) pick() Kind {
+	x := l.rng.Float64() * l.total
+	for _, k := range l.kinds {
+		if x -= k.Share; x < 0 {
+			return k
+		}
+	}
+	return l.kinds[len(l.kinds)-1]
+}
+
+func (l *Loader) request(k Kind, key string, offered time.Time) {
+	rec := &Record{Kind: k.Name, Class: k.Class, Offered: offered}
+	l.mu.Lock()
+	l.records = append(l.records, rec)
+	rec.Unsent = l.open >= maxOpen
+	if rec.Unsent {
+		l.mu.Unlock()
+		return
+	}
+	l.open++
+	retries := l.cfg.Retries
+	l.mu.Unlock()
+	defer func() {
+		l.mu.Lock()
+		l.open--
+		l.mu.Unlock()
+	}()
+
+	var tk string
+	if k.Ticket {
+		tk = l.ticket(k)
+	}
+	keyed := key
+	doubt := false
+	for repeat, number := 0, 1; ; number++ {
+		entry, wait := l.draw()
+		try, offer := l.try(k, keyed, number, repeat+1, tk, entry)
+		l.mu.Lock()
+		rec.Tries = append(rec.Tries, try)
+		l.mu.Unlock()
+		if try.Whole {
+			return
+		}
+		if try.Status == http.StatusPreconditionRequired && offer != "" && tk == "" {
+			// Being handed a ticket is no failure, so it is no repeat.
+			tk = offer
+			continue
+		}
+		doubt = doubt || try.Outcome != "NotRun"
+		if repeat++; repeat > retries {
+			return
+		}
+		same := tk != "" || k.Key
+		if try.Reason == "TicketForeign" || try.Reason == "TicketExpired" {
+			if doubt {
+				return
+			}
+			tk, same = l.ticket(k), false
+		}
+		if !same {
+			keyed = fmt.Sprintf("%s.%d", key, repeat)
+		}
+		time.Sleep(wait)
+	}
+}
+
+func (l *Loader) draw() (entry string, wait time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.cfg.Entries[l.rng.IntN(len(l.cfg.Entries))], time.Duration(l.rng.ExpFloat64() * float64(l.cfg.Backoff))
+}
+
+func (l *Loader) try(k Kind, key string, number, attempt int, tk, entry string) (t Try, offer string) {
+	t = Try{Key: key, Number: number, Entry: entry, Begin: time.Now()}
+	defer func() { t.End = time.Now() }()
+	ctx, cancel := context.WithTimeout(context.Background(), k.Timeout)
+	defer cancel()
+	body := worker.Fill("body "+key, k.BodySize)
+	req, err := http.NewRequestWithContext(ctx, k.Method, "http://"+entry+"/"+k.Service+k.Path, worker.NewBody(body))
+	if err != nil {
+		t.Error = err.Error()
+		return t, ""
+	}
+	if k.BodySize > 0 {
+		req.ContentLength = int64(k.BodySize)
+	}
+	req.Header.Set(worker.HeaderKey, key)
+	req.Header.Set(worker.HeaderTry, strconv.Itoa(number))
+	req.Header.Set("Crocus-Attempt", strconv.Itoa(attempt))
+	req.Header.Set("Crocus-Timeout-Ms", strconv.FormatInt(k.Timeout.Milliseconds(), 10))
+	if tk != "" {
+		req.Header.Set("Crocus-Ticket", tk)
+	}
+	if k.Key {
+		req.Header.Set("Idempotency-Key", key)
+	}
+	resp, err := l.client.Do(req)
+	if err != nil {
+		t.Error = err.Error()
+		return t, ""
+	}
+	defer func() { _ = resp.Body.Close() }()
+	t.Status = resp.StatusCode
+	t.Outcome = resp.Header.Get("Crocus-Outcome")
+	t.Reason = resp.Header.Get("Crocus-Reason")
+	t.Request = resp.Header.Get("Crocus-Request")
+	b, err := io.ReadAll(resp.Body)
+	if err != nil {
+		t.Error, t.Broken = err.Error(), true
+		return t, ""
+	}
+	u, err := url.Parse(k.Path)
+	if err != nil {
+		t.Error = err.Error()
+		return t, ""
+	}
+	if t.Status == http.StatusOK {
+		t.Whole = bytes.Equal(b, worker.Answer(k.Service, u.Path, key, k.AnswerSize, body))
+	}
+	return t, resp.Header.Get("Crocus-Ticket")
+}
--- /dev/null
+++ b/crocusfake/internal/loader/ticket.go
@@ -0,0 +1,69 @@
+package loader
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/url"
+	"time"
+)
+
+// blockSize is the number of tickets that callers ask for at a time.
+const blockSize = 16
+
+type ticket struct {
+	value  string
+	usable time.Time
+}
+
+// ticket returns a ticket from the callers' stock, or a new block's first one.
+// It returns "" when no block is to be had; the request then goes without a
+// ticket and is handed one with status 428.
+func (l *Loader) ticket(k Kind) string {
+	l.mu.Lock()
+	for stock := l.tickets[k.Name]; len(stock) > 0; stock = l.tickets[k.Name] {
+		t := stock[0]
+		l.tickets[k.Name] = stock[1:]
+		if time.Now().Before(t.usable) {
+			l.mu.Unlock()
+			return t.value
+		}
+	}
+	l.mu.Unlock()
+	entry, _ := l.draw()
+	values, lifetime := l.fetch(k, entry)
+	if len(values) == 0 {
+		return ""
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, v := range values[1:] {
+		// Half of the lifetime leaves time for repeats with the same ticket.
+		l.tickets[k.Name] = append(l.tickets[k.Name], ticket{value: v, usable: time.Now().Add(lifetime / 2)})
+	}
+	return values[0]
+}
+
+func (l *Loader) fetch(k Kind, entry string) ([]string, time.Duration) {
+	ctx, cancel := context.WithTimeout(context.Background(), k.Timeout)
+	defer cancel()
+	q := url.Values{"service": {k.Service}, "kind": {k.Name}, "count": {fmt.Sprint(blockSize)}}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+entry+"/crocus/tickets?"+q.Encode(), nil)
+	if err != nil {
+		return nil, 0
+	}
+	resp, err := l.client.Do(req)
+	if err != nil {
+		return nil, 0
+	}
+	defer func() { _ = resp.Body.Close() }()
+	var block struct {
+		Tickets         []string
+		LifetimeSeconds int
+	}
+	if resp.StatusCode != http.StatusOK || json.NewDecoder(resp.Body).Decode(&block) != nil {
+		return nil, 0
+	}
+	return block.Tickets, time.Duration(block.LifetimeSeconds) * time.Second
+}
