judger: counts double runs, false NotRun and wrong answers

Cause: the verdict of every experiment is one comparison of ledgers and records. Ruled out: counting NotRun for a repeat of a ticket as false: the header is about the HTTP request; it is counted separately as RepeatNotRun. Before: no check. Conclusion: nested calls are judged like callers' requests.

--- /dev/null
+++ b/crocusfake/internal/judger/judger.go
@@ -0,0 +1,125 @@
+package judger
+
+import (
+	"fmt"
+	"net/http"
+	"time"
+
+	"crocustack/crocusfake/internal/loader"
+	"crocustack/crocusfake/internal/worker"
+)
+
+const maxExamples = 20
+
+// Verdict is the result of a comparison.
+type Verdict struct {
+	Requests, Tries, Runs int
+	DoubleRuns            int
+	FalseNotRun           int
+	// RepeatNotRun counts repeats with the same ticket or key that were told
+	// NotRun although an earlier try ran. It is not a breach by itself.
+	RepeatNotRun int
+	WrongAnswers int
+	// WrongNested counts nested calls with a wrong 200 answer.
+	WrongNested int
+	// MaxAttempts is the largest number of requests at backend servers for one
+	// HTTP request of a caller.
+	MaxAttempts int
+	// Wasted is the share of work that no whole answer came from.
+	Wasted   float64
+	Examples []string
+}
+
+// Breaches is the number of broken promises.
+func (v Verdict) Breaches() int {
+	return v.DoubleRuns + v.FalseNotRun + v.WrongAnswers + v.WrongNested
+}
+
+func (v *Verdict) breach(count *int, format string, args ...any) {
+	*count++
+	if len(v.Examples) < maxExamples {
+		v.Examples = append(v.Examples, fmt.Sprintf(format, args...))
+	}
+}
+
+type attempt struct{ key, try string }
+
+// Judge compares the ledgers with the callers' records. Both must be complete:
+// callers and backend servers have come to rest.
+func Judge(ledgers []worker.Entries, records []loader.Record) Verdict {
+	var v Verdict
+	begun := make(map[string][]worker.Run)
+	ran := make(map[attempt]worker.Run)
+	arrivals := make(map[string]int)
+	for _, l := range ledgers {
+		for _, r := range l.Runs {
+			v.Runs++
+			begun[r.Key] = append(begun[r.Key], r)
+			ran[attempt{r.Key, r.Try}] = r
+		}
+		for tree, n := range l.Arrivals {
+			arrivals[tree] += n
+			v.MaxAttempts = max(v.MaxAttempts, arrivals[tree])
+		}
+	}
+	for key, runs := range begun {
+		if len(runs) > 1 && !runs[0].Idempotent {
+			v.breach(&v.DoubleRuns, "double run: key %s ran at %s (try %s, request %s) and %s (try %s, request %s)", key,
+				runs[0].Instance, runs[0].Try, runs[0].Request, runs[1].Instance, runs[1].Try, runs[1].Request)
+		}
+	}
+	for _, l := range ledgers {
+		for _, c := range l.Nested {
+			if run, ok := ran[attempt{c.Key, c.Try}]; ok && c.Outcome == "NotRun" {
+				v.breach(&v.FalseNotRun, "false NotRun: nested call %s try %s told NotRun/%s, ran at %s (request %s)", c.Key, c.Try, c.Reason, run.Instance, run.Request)
+			}
+			if !c.Whole {
+				v.breach(&v.WrongNested, "wrong answer: nested call %s of %s try %s", c.Key, c.Service, c.Try)
+			}
+		}
+	}
+	good := make(map[string]bool)
+	for _, r := range records {
+		v.Requests++
+		for _, t := range r.Tries {
+			v.Tries++
+			if t.Whole {
+				good[t.Key] = true
+			}
+			if t.Status == http.StatusOK && !t.Whole && !t.Broken {
+				v.breach(&v.WrongAnswers, "wrong answer: %s key %s try %d request %s at entry %s", r.Kind, t.Key, t.Number, t.Request, t.Entry)
+			}
+			if t.Outcome != "NotRun" {
+				continue
+			}
+			if run, ok := ran[attempt{t.Key, fmt.Sprint(t.Number)}]; ok {
+				v.breach(&v.FalseNotRun, "false NotRun: %s key %s try %d request %s told NotRun/%s, ran at %s (request %s)",
+					r.Kind, t.Key, t.Number, t.Request, t.Reason, run.Instance, run.Request)
+			} else if len(begun[t.Key]) > 0 {
+				v.RepeatNotRun++
+			}
+		}
+	}
+	v.Wasted = wasted(begun, good)
+	return v
+}
+
+func wasted(begun map[string][]worker.Run, good map[string]bool) float64 {
+	var all, lost time.Duration
+	for key, runs := range begun {
+		for _, r := range runs {
+			if r.End.IsZero() {
+				continue
+			}
+			d := r.End.Sub(r.Begin)
+			all += d
+			if !good[worker.Root(key)] {
+				lost += d
+			}
+		}
+	}
+	if all == 0 {
+		return 0
+	}
+	return float64(lost) / float64(all)
+}
