commander: verbs platform, backend and load

Cause: the stand-ins must also run as separate processes. Ruled out: go-flags long descriptions: they lose the indentation of YAML examples. Before: an empty main.

--- a/crocusfake/main.go
+++ b/crocusfake/main.go
@@ -1,4 +1,18 @@
-// Command crocusfake is under construction.
+// Command crocusfake runs stand-ins and experiments for crocustack.
 package main
 
-func main() {}
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"crocustack/crocusfake/internal/commander"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	status := commander.Main(ctx, os.Args[1:], os.Stdout, os.Stderr)
+	stop()
+	os.Exit(status)
+}
