experimenter: fleets of real nodes and the verbs that measure them

Cause: promises and targets can only be shown with real node processes. Ruled out: a simulator of nodes, which would measure the simulator; relays between nodes with today's settings: a link is known by the address in the handshake, so a node must be able to listen elsewhere. The fault experiment uses link relays as soon as the node accepts the setting Node.Listen. Before: no experiments.

--- /dev/null
+++ b/crocusfake/internal/commander/experiment.go
@@ -0,0 +1,58 @@
+package commander
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"maps"
+	"os"
+	"slices"
+	"strings"
+	"text/tabwriter"
+
+	"github.com/cockroachdb/errors"
+
+	"crocustack/crocusfake/internal/experimenter"
+)
+
+// result is what an experiment returns.
+type result interface {
+	Table() [][]string
+	Breaches() int
+}
+
+// experimentOptions are common to the experiments.
+type experimentOptions struct {
+	Seed   uint64 `long:"seed" default:"1" description:"seed of arrivals, service times and schedules"`
+	Output string `long:"output" choice:"text" choice:"json" default:"text" description:"output format"`
+}
+
+func (experimentOptions) command() string {
+	return "crocusfake " + strings.Join(os.Args[1:], " ")
+}
+
+// show prints the result, also an incomplete one, and turns breaches into an
+// error.
+func (o experimentOptions) show(out io.Writer, head experimenter.Head, r result, err error) error {
+	if o.Output == "json" {
+		e := json.NewEncoder(out)
+		e.SetIndent("", "  ")
+		if err := e.Encode(r); err != nil {
+			return errors.Wrap(err, "print")
+		}
+	} else {
+		_, _ = fmt.Fprintf(out, "command: %s\nseed: %d\n", head.Command, head.Seed)
+		for _, k := range slices.Sorted(maps.Keys(head.Parameters)) {
+			_, _ = fmt.Fprintf(out, "%s: %s\n", k, head.Parameters[k])
+		}
+		t := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+		for _, row := range r.Table() {
+			_, _ = fmt.Fprintln(t, strings.Join(row, "\t"))
+		}
+		_ = t.Flush()
+	}
+	if err == nil && r.Breaches() > 0 {
+		return errors.Newf("%d breaches with seed %d", r.Breaches(), o.Seed)
+	}
+	return err
+}
--- /dev/null
+++ b/crocusfake/internal/experimenter/drain.go
@@ -0,0 +1,175 @@
+package experimenter
+
+import (
+	"context"
+	"fmt"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"crocustack/crocusfake/internal/judger"
+	"crocustack/crocusfake/internal/loader"
+)
+
+// DrainCase holds the figures of one way to leave.
+type DrainCase struct {
+	Way, Member string
+	// LastRunMs is the begin of the last run at the leaving backend server,
+	// from the announcement on; 0 without one.
+	LastRunMs Milliseconds
+	// Late counts the runs that began more than 2 s after the announcement.
+	Late int
+	// Unfinished counts the runs that were cut off.
+	Unfinished int
+	// Interrupted counts the callers' tries at the leaving node that were open
+	// at the announcement and got no answer.
+	Interrupted int
+	// Failed counts the requests offered in the 4 s after the announcement
+	// without a whole answer.
+	Failed, Offered int
+	// ExitMs is the time until the process ended, and Exit its status.
+	ExitMs Milliseconds
+	Exit   string `json:",omitempty"`
+}
+
+// DrainResult holds the figures of Drain.
+type DrainResult struct {
+	Head
+	Cases   []DrainCase
+	Verdict judger.Verdict
+}
+
+// lateAfter is the bound on new work at a leaving backend server.
+const lateAfter = 2 * time.Second
+
+// Drain lets an instance leave under load in three ways, one after another:
+// its node is told to stop, its backend server reports that it drains, and the
+// platform lists it as leaving.
+func Drain(ctx context.Context, command string, seed uint64) (DrainResult, error) {
+	const perService = 3
+	rate := 0.25 * capacity(perService)
+	result := DrainResult{Head: newHead(command, seed, "UpstreamsPerService", fmt.Sprint(perService),
+		"OfferedPerSecond", fmt.Sprintf("%.0f", rate), "Retries", "2", "DrainTimeout", "30s")}
+	f, err := startFleet(ctx, fleetConfig{policy: "Adaptive", mesh: kwitariusz(), perService: perService,
+		domains: []string{"waw-a", "waw-b"}, seed: seed, spread: spread})
+	if err != nil {
+		return result, err
+	}
+	defer func() { f.close(result.Breaches() > 0) }()
+	cfg := loaderConfig(f, seed)
+	cfg.Rate, cfg.Retries = rate, 2
+	l := loader.New(cfg)
+	loadCtx, stop := context.WithCancel(ctx)
+	defer stop()
+	finished := make(chan struct{})
+	go func() {
+		defer close(finished)
+		l.Run(loadCtx)
+	}()
+	type event struct {
+		member *member
+		at     time.Time
+	}
+	var events []event
+	for _, c := range []struct {
+		way   string
+		m     *member
+		leave func(*member) error
+	}{
+		{"node gets SIGTERM", f.of(deepService)[0], func(m *member) error { m.running().signal(syscall.SIGTERM); return nil }},
+		{"backend server drains", f.of("ksiegi")[0], func(m *member) error { m.worker.SetDraining(true); return nil }},
+		{"platform lists it as leaving", f.of("skany")[0], func(m *member) error { return f.publisher.SetInstance(m.instance("Leaving")) }},
+	} {
+		if err := sleep(ctx, 3*time.Second); err != nil {
+			return result, err
+		}
+		at := time.Now()
+		if err := c.leave(c.m); err != nil {
+			return result, errors.Wrap(err, c.way)
+		}
+		events = append(events, event{c.m, at})
+		d := DrainCase{Way: c.way, Member: c.m.name}
+		if c.way == "node gets SIGTERM" {
+			// Callers stop using the entry when it is announced as leaving.
+			l.SetEntries(f.entries()[1:])
+			select {
+			case <-c.m.running().done:
+				d.ExitMs, d.Exit = milliseconds(time.Since(at)), c.m.running().state.String()
+			case <-time.After(35 * time.Second):
+				d.Exit = "still running after 35 s"
+			case <-ctx.Done():
+				return result, ctx.Err()
+			}
+		}
+		if err := sleep(ctx, 4*time.Second-time.Since(at)); err != nil {
+			return result, err
+		}
+		result.Cases = append(result.Cases, d)
+	}
+	stop()
+	<-finished
+	f.settle()
+	records := l.Records()
+	for i, e := range events {
+		result.Cases[i].measure(e.member, e.at, records)
+	}
+	result.Verdict = judger.Judge(f.ledgers(), records)
+	return result, nil
+}
+
+func (d *DrainCase) measure(m *member, at time.Time, records []loader.Record) {
+	for _, r := range m.worker.Ledger().Entries().Runs {
+		if r.Begin.After(at) {
+			d.LastRunMs = max(d.LastRunMs, milliseconds(r.Begin.Sub(at)))
+		}
+		if r.Begin.After(at.Add(lateAfter)) {
+			d.Late++
+		}
+		if r.End.After(at) && !r.Finished {
+			d.Unfinished++
+		}
+	}
+	after := span{begin: at, end: at.Add(4 * time.Second)}
+	for _, r := range records {
+		if after.contains(r) {
+			d.Offered++
+			if _, ok := r.Good(); !ok {
+				d.Failed++
+			}
+		}
+		for _, t := range r.Tries {
+			if t.Entry == m.settings.Node.Entry && t.Begin.Before(at) && t.End.After(at) && t.Status == 0 {
+				d.Interrupted++
+			}
+		}
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) error {
+	select {
+	case <-time.After(d):
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// Breaches counts late, unfinished and interrupted work and broken promises.
+func (r DrainResult) Breaches() int {
+	n := r.Verdict.Breaches()
+	for _, c := range r.Cases {
+		n += c.Late + c.Unfinished + c.Interrupted
+	}
+	return n
+}
+
+// Table returns one row for each way to leave.
+func (r DrainResult) Table() [][]string {
+	rows := [][]string{{"Way", "Member", "Last new run", "New runs after 2 s", "Unfinished", "Interrupted", "Failed / offered", "Exit"}}
+	for _, c := range r.Cases {
+		rows = append(rows, []string{c.Way, c.Member, c.LastRunMs.String(), fmt.Sprint(c.Late), fmt.Sprint(c.Unfinished), fmt.Sprint(c.Interrupted),
+			fmt.Sprintf("%d / %d", c.Failed, c.Offered), fmt.Sprintf("%s %v", c.Exit, c.ExitMs)})
+	}
+	return append(rows, []string{"breaches", fmt.Sprint(r.Breaches()), list(r.Verdict.Examples)})
+}
--- /dev/null
+++ b/crocusfake/internal/experimenter/fleet.go
@@ -0,0 +1,439 @@
+package experimenter
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/goccy/go-yaml"
+	"golang.org/x/sync/errgroup"
+
+	"crocustack/core/configurer"
+	"crocustack/core/releaser"
+
+	"crocustack/crocusfake/internal/publisher"
+	"crocustack/crocusfake/internal/relayer"
+	"crocustack/crocusfake/internal/worker"
+)
+
+const region = "mazowsze"
+
+// fleetConfig describes the fleet of one experiment.
+type fleetConfig struct {
+	policy     string
+	mesh       []service
+	perService int
+	domains    []string
+	seed       uint64
+	// spread is the sigma of the service times.
+	spread float64
+	// relays puts a relay before each backend server, and before each link
+	// listener when the node can listen elsewhere than at its address.
+	relays bool
+	// lag delays the instance lists of the platform.
+	lag time.Duration
+}
+
+// settings is the settings file of a node.
+type settings struct {
+	Node struct {
+		Service  string `yaml:"Service"`
+		Domain   string `yaml:"Domain"`
+		Region   string `yaml:"Region"`
+		Link     string `yaml:"Link"`
+		Listen   string `yaml:"Listen,omitempty"`
+		Entry    string `yaml:"Entry"`
+		Outbound string `yaml:"Outbound"`
+		Admin    string `yaml:"Admin"`
+	} `yaml:"Node"`
+	Backend struct {
+		URL        string `yaml:"URL"`
+		HealthPath string `yaml:"HealthPath"`
+	} `yaml:"Backend"`
+	Platform struct {
+		URL string `yaml:"URL"`
+	} `yaml:"Platform"`
+	Seeds        []string `yaml:"Seeds"`
+	Policy       string   `yaml:"Policy"`
+	DrainTimeout string   `yaml:"DrainTimeout"`
+	Log          struct {
+		Level     string `yaml:"Level"`
+		Decisions bool   `yaml:"Decisions"`
+	} `yaml:"Log"`
+}
+
+// member is one instance: a node process and its backend server.
+type member struct {
+	name     string
+	settings settings
+	file     string
+	log      string
+	worker   *worker.Worker
+	server   *http.Server
+	// link and backend are nil without relays.
+	link, backend *relayer.Relay
+
+	mu      sync.Mutex
+	process *process
+}
+
+// fleet runs one mesh. Its methods are safe for concurrent use.
+type fleet struct {
+	cfg       fleetConfig
+	dir       string
+	binary    string
+	publisher *publisher.Publisher
+	platform  *http.Server
+	// toPlatform is the way of each domain's nodes to the platform.
+	toPlatform map[string]*relayer.Relay
+	members    []*member
+	admin      *http.Client
+
+	mu        sync.Mutex
+	note      releaser.Note
+	catalogue releaser.Catalogue
+}
+
+// startFleet returns when every node is healthy and has a note in force.
+func startFleet(ctx context.Context, cfg fleetConfig) (*fleet, error) {
+	binary, err := nodeBinary()
+	if err != nil {
+		return nil, err
+	}
+	dir, err := os.MkdirTemp("", "crocusfake-")
+	if err != nil {
+		return nil, errors.Wrap(err, "create directory")
+	}
+	f := &fleet{
+		cfg: cfg, dir: dir, binary: binary,
+		publisher:  publisher.New(publisher.Config{Lag: cfg.lag}),
+		toPlatform: make(map[string]*relayer.Relay),
+		admin:      &http.Client{Timeout: 2 * time.Second},
+	}
+	if err := f.start(ctx); err != nil {
+		f.close(false)
+		return nil, errors.Wrapf(err, "start fleet (node logs in %s)", dir)
+	}
+	return f, nil
+}
+
+func (f *fleet) start(ctx context.Context) error {
+	first := releaser.Note{Number: 1, Added: section(f.cfg.mesh, f.cfg.domains, region)}
+	if _, err := f.publish(first); err != nil {
+		return err
+	}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return errors.Wrap(err, "start platform")
+	}
+	f.platform = &http.Server{Handler: f.publisher.Handler(), ReadHeaderTimeout: 10 * time.Second}
+	go func() { _ = f.platform.Serve(l) }()
+	for _, d := range f.cfg.domains {
+		if f.toPlatform[d], err = relayer.New("127.0.0.1:0", l.Addr().String()); err != nil {
+			return err
+		}
+	}
+	addresses, err := ports(5 * len(f.cfg.mesh) * f.cfg.perService)
+	if err != nil {
+		return err
+	}
+	var instances []publisher.Instance
+	for i, s := range f.cfg.mesh {
+		for j := range f.cfg.perService {
+			n := i*f.cfg.perService + j
+			m, err := f.newMember(s, n, f.cfg.domains[j%len(f.cfg.domains)], addresses[5*n:5*n+5])
+			if err != nil {
+				return err
+			}
+			f.members = append(f.members, m)
+			instances = append(instances, m.instance("Live"))
+		}
+	}
+	if err := f.publisher.SetInstances(instances...); err != nil {
+		return err
+	}
+	for _, m := range f.members {
+		if err := f.launch(m); err != nil {
+			return err
+		}
+	}
+	return f.waitReady(ctx, f.members, 1)
+}
+
+func (f *fleet) newMember(s service, n int, domain string, addresses []string) (*member, error) {
+	m := &member{name: fmt.Sprintf("%s-%d", s.name, n)}
+	w, err := worker.New(worker.Config{
+		Service: s.name, Instance: m.name, Slots: s.slots, Connections: s.connections, Outbound: addresses[2],
+		Routes: s.routes, Spread: f.cfg.spread, Seed: f.cfg.seed + uint64(n),
+	})
+	if err != nil {
+		return nil, err
+	}
+	m.worker = w
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, errors.Wrap(err, "start backend server")
+	}
+	m.server = &http.Server{Handler: w.Handler(), ReadHeaderTimeout: 10 * time.Second}
+	go func() { _ = m.server.Serve(l) }()
+	backend := l.Addr().String()
+
+	st := &m.settings
+	st.Node.Service, st.Node.Domain, st.Node.Region = s.name, domain, region
+	st.Node.Link, st.Node.Entry, st.Node.Outbound, st.Node.Admin = addresses[0], addresses[1], addresses[2], addresses[3]
+	if f.cfg.relays {
+		if m.backend, err = relayer.New("127.0.0.1:0", backend); err != nil {
+			return nil, err
+		}
+		backend = m.backend.Address()
+		if linkRelays() {
+			st.Node.Listen = addresses[4]
+			if m.link, err = relayer.New(st.Node.Link, st.Node.Listen); err != nil {
+				return nil, err
+			}
+		}
+	}
+	st.Backend.URL, st.Backend.HealthPath = "http://"+backend, "/health"
+	st.Platform.URL = "http://" + f.toPlatform[domain].Address()
+	if len(f.members) > 0 {
+		st.Seeds = []string{f.members[0].settings.Node.Link}
+	}
+	st.Policy = f.cfg.policy
+	st.DrainTimeout = "30s"
+	st.Log.Level, st.Log.Decisions = "Info", true
+	m.file = filepath.Join(f.dir, m.name+".yaml")
+	m.log = filepath.Join(f.dir, m.name+".log")
+	b, err := yaml.Marshal(st)
+	if err != nil {
+		return nil, errors.Wrap(err, "encode settings")
+	}
+	return m, errors.Wrap(os.WriteFile(m.file, b, 0o600), "write settings")
+}
+
+// linkRelays tells whether a node can listen for links elsewhere than at the
+// address that it is known by. Without that no relay fits between two nodes,
+// since a link is known by the address that the peer states in the handshake.
+var linkRelays = sync.OnceValue(func() bool {
+	_, err := configurer.Load("settings", []byte(`
+Node: {Service: s, Domain: d, Region: r, Link: "127.0.0.1:1", Listen: "127.0.0.1:2", Entry: "127.0.0.1:3", Outbound: "127.0.0.1:4", Admin: "127.0.0.1:5"}
+Backend: {URL: "http://127.0.0.1:6"}
+Platform: {URL: "http://127.0.0.1:7"}
+`))
+	return err == nil
+})
+
+func (m *member) instance(state string) publisher.Instance {
+	n := m.settings.Node
+	return publisher.Instance{Service: n.Service, Address: n.Link, Domain: n.Domain, Region: n.Region, State: state}
+}
+
+// launch starts the node of a member again, or for the first time.
+func (f *fleet) launch(m *member) error {
+	p, err := startProcess(f.binary, m.file, m.log)
+	if err != nil {
+		return err
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.process = p
+	return nil
+}
+
+func (m *member) running() *process {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.process
+}
+
+// waitReady returns when the nodes are healthy with a note of at least the
+// number in force.
+func (f *fleet) waitReady(ctx context.Context, members []*member, number uint64) error {
+	ctx, cancel := context.WithTimeout(ctx, 20*time.Second)
+	defer cancel()
+	g, ctx := errgroup.WithContext(ctx)
+	for _, m := range members {
+		g.Go(func() error {
+			for {
+				st, err := f.status(ctx, m)
+				if err == nil && st.Note.Number >= number && f.healthy(ctx, m) {
+					return nil
+				}
+				select {
+				case <-ctx.Done():
+					return errors.Newf("%s not ready: status %+v, error %v", m.name, st, err)
+				case <-m.running().done:
+					return errors.Newf("%s ended: %v", m.name, m.running().state)
+				case <-time.After(20 * time.Millisecond):
+				}
+			}
+		})
+	}
+	return g.Wait()
+}
+
+func (f *fleet) healthy(ctx context.Context, m *member) bool {
+	resp, err := f.get(ctx, m, "/health")
+	if err != nil {
+		return false
+	}
+	_ = resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
+
+func (f *fleet) get(ctx context.Context, m *member, path string) (*http.Response, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+m.settings.Node.Admin+path, nil)
+	if err != nil {
+		return nil, err
+	}
+	return f.admin.Do(req)
+}
+
+// nodeStatus holds what experiments need of GET /status.
+type nodeStatus struct {
+	Note struct {
+		Number uint64
+		Digest string
+	}
+	CatalogueDigest string
+}
+
+func (f *fleet) status(ctx context.Context, m *member) (st nodeStatus, err error) {
+	resp, err := f.get(ctx, m, "/status")
+	if err != nil {
+		return st, err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode != http.StatusOK {
+		return st, errors.Newf("status %d", resp.StatusCode)
+	}
+	return st, json.NewDecoder(resp.Body).Decode(&st)
+}
+
+// publish puts a note with the resulting catalogue on the platform.
+func (f *fleet) publish(n releaser.Note) (releaser.Note, error) {
+	n, err := releaser.ParseNote("note", n.Canonical())
+	if err != nil {
+		return n, err
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.note = n
+	f.catalogue, _ = f.catalogue.With(n.Items()...)
+	return n, f.publisher.Put("release/current", releaser.Document(n, f.catalogue))
+}
+
+// follow returns a note that changes a limit of a service, on top of the
+// newest one.
+func (f *fleet) follow(serviceIndex, queueLength int) releaser.Note {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	s := section(f.cfg.mesh, nil, region).Services[serviceIndex]
+	s.QueueLength = queueLength
+	return releaser.Note{
+		Number:      f.note.Number + 1,
+		Predecessor: releaser.Predecessor{Number: f.note.Number, Digest: f.note.Digest()},
+		Changed:     releaser.Section{Services: []releaser.Service{s}},
+	}
+}
+
+func (f *fleet) entries() []string {
+	out := make([]string, 0, len(f.members))
+	for _, m := range f.members {
+		out = append(out, m.settings.Node.Entry)
+	}
+	return out
+}
+
+func (f *fleet) of(name string) []*member {
+	var out []*member
+	for _, m := range f.members {
+		if m.settings.Node.Service == name {
+			out = append(out, m)
+		}
+	}
+	return out
+}
+
+func (f *fleet) ledgers() []worker.Entries {
+	out := make([]worker.Entries, 0, len(f.members))
+	for _, m := range f.members {
+		out = append(out, m.worker.Ledger().Entries())
+	}
+	return out
+}
+
+// settle waits until no backend server has a request any more.
+func (f *fleet) settle() {
+	for end := time.Now().Add(5 * time.Second); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		present := 0
+		for _, m := range f.members {
+			present += m.worker.Present()
+		}
+		if present == 0 {
+			return
+		}
+	}
+}
+
+// traceLength bounds the log lines in a result.
+const traceLength = 40
+
+// trace returns log lines of all nodes that contain the text.
+func (f *fleet) trace(text string) []string {
+	var lines []string
+	if text == "" {
+		return lines
+	}
+	for _, m := range f.members {
+		b, err := os.ReadFile(m.log)
+		if err != nil {
+			continue
+		}
+		for line := range strings.Lines(string(b)) {
+			if strings.Contains(line, text) && len(lines) < traceLength {
+				lines = append(lines, m.name+": "+strings.TrimSpace(line))
+			}
+		}
+	}
+	return lines
+}
+
+// close ends all processes and servers. It keeps settings and logs on demand.
+func (f *fleet) close(keep bool) {
+	for _, m := range f.members {
+		if p := m.running(); p != nil {
+			p.signal(syscall.SIGCONT)
+			p.kill()
+		}
+		for _, r := range []*relayer.Relay{m.link, m.backend} {
+			if r != nil {
+				r.Close()
+			}
+		}
+		if m.server != nil {
+			_ = m.server.Close()
+		}
+		if m.worker != nil {
+			m.worker.Close()
+		}
+	}
+	for _, r := range f.toPlatform {
+		r.Close()
+	}
+	if f.platform != nil {
+		_ = f.platform.Close()
+	}
+	f.admin.CloseIdleConnections()
+	if !keep {
+		_ = os.RemoveAll(f.dir)
+	}
+}
--- /dev/null
+++ b/crocusfake/internal/experimenter/phase.go
@@ -0,0 +1,148 @@
+package experimenter
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"time"
+
+	"crocustack/crocusfake/internal/loader"
+)
+
+// phase is a time with constant load and faults.
+type phase struct {
+	name     string
+	rate     float64
+	retries  int
+	slow     float64
+	duration time.Duration
+}
+
+// span is when a phase took place.
+type span struct {
+	name       string
+	begin, end time.Time
+}
+
+func (s span) contains(r loader.Record) bool {
+	return !r.Offered.Before(s.begin) && r.Offered.Before(s.end)
+}
+
+// runPhases offers load phase by phase and returns when all requests are
+// settled. The slow-down applies to the deep service.
+func (f *fleet) runPhases(ctx context.Context, l *loader.Loader, phases []phase) []span {
+	loadCtx, stop := context.WithCancel(ctx)
+	defer stop()
+	finished := make(chan struct{})
+	go func() {
+		defer close(finished)
+		l.Run(loadCtx)
+	}()
+	var spans []span
+	for _, p := range phases {
+		for _, m := range f.of(deepService) {
+			m.worker.SetSlow(p.slow)
+		}
+		l.SetRetries(p.retries)
+		l.SetRate(p.rate)
+		s := span{name: p.name, begin: time.Now()}
+		select {
+		case <-time.After(p.duration):
+		case <-ctx.Done():
+		}
+		s.end = time.Now()
+		spans = append(spans, s)
+	}
+	stop()
+	<-finished
+	f.settle()
+	return spans
+}
+
+// Milliseconds is a duration in the output of experiments.
+type Milliseconds float64
+
+func milliseconds(d time.Duration) Milliseconds {
+	return Milliseconds(d.Microseconds()) / 1000
+}
+
+// PhaseFigures holds what callers got in one phase.
+type PhaseFigures struct {
+	Phase            string
+	OfferedPerSecond float64
+	WholePerSecond   float64
+	// Goodput is the share of offered requests answered whole, by class.
+	Goodput        map[string]float64
+	P50, P99, P999 Milliseconds
+	Outcomes       map[string]int
+}
+
+func phaseFigures(records []loader.Record, s span) PhaseFigures {
+	all := loader.Summarize(records, s.contains)
+	seconds := s.end.Sub(s.begin).Seconds()
+	p := PhaseFigures{
+		Phase:            s.name,
+		OfferedPerSecond: float64(all.Offered) / seconds, WholePerSecond: float64(all.Good) / seconds,
+		Goodput: make(map[string]float64), Outcomes: all.Outcomes,
+		P50: milliseconds(all.P50), P99: milliseconds(all.P99), P999: milliseconds(all.P999),
+	}
+	for _, c := range classes {
+		p.Goodput[c] = loader.Summarize(records, func(r loader.Record) bool { return r.Class == c && s.contains(r) }).Share
+	}
+	return p
+}
+
+const (
+	recoveryWindow = 2 * time.Second
+	recoveryStep   = 100 * time.Millisecond
+)
+
+// recovery returns the time from the end of the trigger until goodput and p99
+// stay for the window within 5% of the level before, and false when they don't
+// before the end of the span after.
+func recovery(records []loader.Record, before, after span) (time.Duration, bool) {
+	var worst *loader.Summary
+	for t := before.begin; !t.Add(recoveryWindow).After(before.end); t = t.Add(recoveryStep) {
+		s := window(records, t)
+		if worst == nil {
+			worst = s
+		}
+		worst.Share = min(worst.Share, s.Share)
+		worst.P99 = max(worst.P99, s.P99)
+	}
+	if worst == nil {
+		return 0, false
+	}
+	for t := after.begin; !t.Add(recoveryWindow).After(after.end); t = t.Add(recoveryStep) {
+		s := window(records, t)
+		if s.Share >= 0.95*worst.Share && s.P99 <= worst.P99*105/100 {
+			return t.Sub(after.begin), true
+		}
+	}
+	return 0, false
+}
+
+func window(records []loader.Record, begin time.Time) *loader.Summary {
+	return loader.Summarize(records, span{begin: begin, end: begin.Add(recoveryWindow)}.contains)
+}
+
+// Head is printed before the figures of every experiment.
+type Head struct {
+	Command    string
+	Seed       uint64
+	Parameters map[string]string
+}
+
+func newHead(command string, seed uint64, parameters ...string) Head {
+	h := Head{Command: command, Seed: seed, Parameters: make(map[string]string)}
+	for i := 0; i+1 < len(parameters); i += 2 {
+		h.Parameters[parameters[i]] = parameters[i+1]
+	}
+	return h
+}
+
+func share(v float64) string { return fmt.Sprintf("%.2f%%", 100*v) }
+
+func (m Milliseconds) String() string { return fmt.Sprintf("%.2f ms", float64(m)) }
+
+func list(values []string) string { return strings.Join(values, " ") }
--- /dev/null
+++ b/crocusfake/internal/experimenter/process.go
@@ -0,0 +1,91 @@
+package experimenter
+
+import (
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"runtime"
+	"sync"
+	"syscall"
+
+	"github.com/cockroachdb/errors"
+)
+
+// ports returns n free TCP ports of the loopback address.
+func ports(n int) ([]string, error) {
+	addresses := make([]string, 0, n)
+	for range n {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return nil, errors.Wrap(err, "find a free port")
+		}
+		defer func() { _ = l.Close() }()
+		addresses = append(addresses, l.Addr().String())
+	}
+	return addresses, nil
+}
+
+// nodeBinary returns the path of the crocusd beside the running binary.
+func nodeBinary() (string, error) {
+	self, err := os.Executable()
+	if err != nil {
+		return "", errors.Wrap(err, "find own binary")
+	}
+	path := filepath.Join(filepath.Dir(self), "crocusd")
+	if _, err := os.Stat(path); err != nil {
+		return "", errors.Wrap(err, "crocusd must be beside crocusfake (make build)")
+	}
+	return path, nil
+}
+
+// process is one run of a node.
+type process struct {
+	cmd *exec.Cmd
+	// done is closed after the process ended; state is valid then.
+	done  chan struct{}
+	state *os.ProcessState
+}
+
+// starter runs on one thread that never ends: the kernel sends the death
+// signal when the thread that started the process ends.
+var starter = sync.OnceValue(func() chan<- func() {
+	work := make(chan func())
+	go func() {
+		runtime.LockOSThread()
+		for f := range work {
+			f()
+		}
+	}()
+	return work
+})
+
+func startProcess(binary, settings, logFile string) (*process, error) {
+	log, err := os.OpenFile(logFile, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return nil, errors.Wrap(err, "open node log")
+	}
+	defer func() { _ = log.Close() }()
+	p := &process{cmd: exec.Command(binary, "--settings", settings), done: make(chan struct{})}
+	p.cmd.Stdout, p.cmd.Stderr = log, log
+	p.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	started := make(chan error)
+	starter() <- func() { started <- p.cmd.Start() }
+	if err := <-started; err != nil {
+		return nil, errors.Wrap(err, "start node")
+	}
+	go func() {
+		_ = p.cmd.Wait()
+		p.state = p.cmd.ProcessState
+		close(p.done)
+	}()
+	return p, nil
+}
+
+func (p *process) signal(s syscall.Signal) { _ = p.cmd.Process.Signal(s) }
+
+// kill ends the process at once, also when it is stopped.
+func (p *process) kill() {
+	p.signal(syscall.SIGKILL)
+	<-p.done
+}
--- a/crocusfake/internal/judger/judger.go
+++ b/crocusfake/internal/judger/judger.go
@@ -28,6 +28,8 @@
 	// Wasted is the share of work that no whole answer came from.
 	Wasted   float64
 	Examples []string
+	// Request is the node's request ID of the first example.
+	Request string
 }
 
 // Breaches is the number of broken promises.
@@ -35,8 +37,11 @@
 	return v.DoubleRuns + v.FalseNotRun + v.WrongAnswers + v.WrongNested
 }
 
-func (v *Verdict) breach(count *int, format string, args ...any) {
+func (v *Verdict) breach(count *int, request, format string, args ...any) {
 	*count++
+	if v.Request == "" {
+		v.Request = request
+	}
 	if len(v.Examples) < maxExamples {
 		v.Examples = append(v.Examples, fmt.Sprintf(format, args...))
 	}
@@ -64,17 +69,17 @@
 	}
 	for key, runs := range begun {
 		if len(runs) > 1 && !runs[0].Idempotent {
-			v.breach(&v.DoubleRuns, "double run: key %s ran at %s (try %s, request %s) and %s (try %s, request %s)", key,
+			v.breach(&v.DoubleRuns, runs[1].Request, "double run: key %s ran at %s (try %s, request %s) and %s (try %s, request %s)", key,
 				runs[0].Instance, runs[0].Try, runs[0].Request, runs[1].Instance, runs[1].Try, runs[1].Request)
 		}
 	}
 	for _, l := range ledgers {
 		for _, c := range l.Nested {
 			if run, ok := ran[attempt{c.Key, c.Try}]; ok && c.Outcome == "NotRun" {
-				v.breach(&v.FalseNotRun, "false NotRun: nested call %s try %s told NotRun/%s, ran at %s (request %s)", c.Key, c.Try, c.Reason, run.Instance, run.Request)
+				v.breach(&v.FalseNotRun, run.Request, "false NotRun: nested call %s try %s told NotRun/%s, ran at %s (request %s)", c.Key, c.Try, c.Reason, run.Instance, run.Request)
 			}
 			if !c.Whole {
-				v.breach(&v.WrongNested, "wrong answer: nested call %s of %s try %s", c.Key, c.Service, c.Try)
+				v.breach(&v.WrongNested, "", "wrong answer: nested call %s of %s try %s", c.Key, c.Service, c.Try)
 			}
 		}
 	}
@@ -87,13 +92,13 @@
 				good[t.Key] = true
 			}
 			if t.Status == http.StatusOK && !t.Whole && !t.Broken {
-				v.breach(&v.WrongAnswers, "wrong answer: %s key %s try %d request %s at entry %s", r.Kind, t.Key, t.Number, t.Request, t.Entry)
+				v.breach(&v.WrongAnswers, t.Request, "wrong answer: %s key %s try %d request %s at entry %s", r.Kind, t.Key, t.Number, t.Request, t.Entry)
 			}
 			if t.Outcome != "NotRun" {
 				continue
 			}
 			if run, ok := ran[attempt{t.Key, fmt.Sprint(t.Number)}]; ok {
-				v.breach(&v.FalseNotRun, "false NotRun: %s key %s try %d request %s told NotRun/%s, ran at %s (request %s)",
+				v.breach(&v.FalseNotRun, run.Request, "false NotRun: %s key %s try %d request %s told NotRun/%s, ran at %s (request %s)",
 					r.Kind, t.Key, t.Number, t.Request, t.Reason, run.Instance, run.Request)
 			} else if len(begun[t.Key]) > 0 {
 				v.RepeatNotRun++
