--- a/core/informer/status.go
+++ b/core/informer/status.go
@@ -71,7 +71,7 @@
 	Limit    int
 	InFlight int
 	Queued   int
-	// Level is the admission level of the gate, 0 to 511.
+	// Level is the admission level of the gate, 0 to 512.
 	Level uint32
 	// Levels holds the levels learned from responses that are above 0.
 	Levels []Level `json:",omitempty"`
