crocusctl: status without any answer, digests by releaser

Cause: status printed "note 0 is in force on 0 of 2 nodes" when no node answered (seen against `crocusfake platform`). Digest text was formatted by own code that releaser already has. CROCUSCTL_NODES of the caller's shell reached the golden cases. Ruled out: nothing. Before: see above. After: `CROCUSCTL_NODES=x go test -race -count=3 ./internal/commander` passes, 3 runs, 44 golden cases.

--- a/core/informer/status.go
+++ b/core/informer/status.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"time"
+
+	"crocustack/core/releaser"
 )
 
 // Digest is a 64-bit digest, written as 16 hexadecimal digits. A JSON number
@@ -10,15 +12,15 @@
 type Digest uint64
 
 // String returns 16 hexadecimal digits.
-func (d Digest) String() string { return fmt.Sprintf("%016x", uint64(d)) }
+func (d Digest) String() string { return releaser.FormatDigest(uint64(d)) }
 
 // MarshalText writes 16 hexadecimal digits.
 func (d Digest) MarshalText() ([]byte, error) { return []byte(d.String()), nil }
 
 // UnmarshalText reads what MarshalText writes.
 func (d *Digest) UnmarshalText(b []byte) error {
-	var v uint64
-	if n, err := fmt.Sscanf(string(b), "%016x", &v); err != nil || n != 1 || Digest(v).String() != string(b) {
+	v, ok := releaser.ParseDigest(string(b))
+	if !ok {
 		return fmt.Errorf("digest %q is not 16 hexadecimal digits", b)
 	}
 	*d = Digest(v)
--- a/crocusctl/internal/commander/golden_test.go
+++ b/crocusctl/internal/commander/golden_test.go
@@ -32,6 +32,10 @@
 	if err != nil || len(folders) == 0 {
 		t.Fatalf("no cases: %v", err)
 	}
+	t.Setenv("CROCUSCTL_NODES", "") // Restores the variable after the test.
+	if err := os.Unsetenv("CROCUSCTL_NODES"); err != nil {
+		t.Fatal(err)
+	}
 	for _, folder := range folders {
 		t.Run(filepath.Base(folder), func(t *testing.T) {
 			names := serve(t, folder)
--- a/crocusctl/internal/commander/status.go
+++ b/crocusctl/internal/commander/status.go
@@ -155,6 +155,11 @@
 		}
 		row(w, n.Node, n.Service, n.Domain, n.Note.Number, n.Note.Digest, n.Catalogue, n.Since.UTC().Format(time.RFC3339), state, role)
 	}
+	if len(r.Nodes) == 0 {
+		printf(w, "no node answered\n")
+		printUnreachable(w, r.Unreachable)
+		return
+	}
 	printf(w, "note %d %s is in force on %d of %d nodes\n", r.Note.Number, r.Note.Digest, current, len(r.Nodes)+len(r.Unreachable))
 	for _, s := range r.Concurrent {
 		printf(w, "concurrent note: %d %s\n", s.Number, s.Digest)
