--- a/core/reporter/reporter_test.go
+++ b/core/reporter/reporter_test.go
@@ -84,3 +84,21 @@
 		}
 	}
 }
+
+// Guards against a document in JSON on one line being taken for deep nesting
+// because of its many sibling fields.
+func TestDecodeAcceptsWideFlowDocument(t *testing.T) {
+	var v struct {
+		Names []struct {
+			A string `yaml:"A"`
+			B string `yaml:"B"`
+		} `yaml:"Names"`
+	}
+	doc := `{"Names":[` + strings.Repeat(`{"A":"x","B":"y"},`, 100) + `{"A":"x","B":"y"}]}`
+	if err := Decode("wide.json", []byte(doc), &v).Err(); err != nil {
+		t.Fatal(err)
+	}
+	if len(v.Names) != 101 {
+		t.Errorf("got %d names, want 101", len(v.Names))
+	}
+}
