experimenter: unclean stop counts as a breach, load average in the head

Cause: a node that ends with an error after SIGTERM went unnoticed; latencies measured on a busy machine could not be told from others. Ruled out: refusing to run on a busy machine. Before: only late, unfinished and interrupted work counted. After: go vet and the tests pass; not run against crocusd. Conclusion: compare latencies only at a similar load average.

--- a/crocusfake/internal/commander/load.go
+++ b/crocusfake/internal/commander/load.go
@@ -23,7 +23,7 @@
 	summary: "run callers against entry listeners",
 	description: `Offers requests for a time, then prints figures by class. With --ledger it also
 compares the records with the ledgers of the backend servers; it then exits
-non-zero on a breach. Settings (YAML):
+non-zero on a breach. Latencies in JSON are in nanoseconds. Settings (YAML):
   Name: callers
   Entries: ["127.0.0.1:7001"]
   Rate: 100         # arrivals per second
--- a/crocusfake/internal/experimenter/drain.go
+++ b/crocusfake/internal/experimenter/drain.go
@@ -43,6 +43,8 @@
 // lateAfter is the bound on new work at a leaving backend server.
 const lateAfter = 2 * time.Second
 
+const cleanExit = "exit status 0"
+
 // Drain lets an instance leave under load in three ways, one after another:
 // its node is told to stop, its backend server reports that it drains, and the
 // platform lists it as leaving.
@@ -155,11 +157,15 @@
 	}
 }
 
-// Breaches counts late, unfinished and interrupted work and broken promises.
+// Breaches counts late, unfinished and interrupted work, a stop that is not
+// clean, and broken promises.
 func (r DrainResult) Breaches() int {
 	n := r.Verdict.Breaches()
 	for _, c := range r.Cases {
 		n += c.Late + c.Unfinished + c.Interrupted
+		if c.Exit != "" && c.Exit != cleanExit {
+			n++
+		}
 	}
 	return n
 }
--- a/crocusfake/internal/experimenter/phase.go
+++ b/crocusfake/internal/experimenter/phase.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"os"
 	"strings"
 	"time"
 
@@ -138,6 +139,10 @@
 	for i := 0; i+1 < len(parameters); i += 2 {
 		h.Parameters[parameters[i]] = parameters[i+1]
 	}
+	// Latencies of a busy machine are not comparable with those of an idle one.
+	if b, err := os.ReadFile("/proc/loadavg"); err == nil {
+		h.Parameters["LoadAverageBefore"], _, _ = strings.Cut(string(b), " ")
+	}
 	return h
 }
 
