--- /dev/null
+++ b/crocusd/internal/administrator/administrator.go
@@ -0,0 +1,90 @@
+// Package administrator serves the admin API of a node: status, links, limits,
+// recent decisions, the release in force, metrics, health and drain. It owns no
+// state and changes none but by starting a drain.
+package administrator
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+
+	"github.com/gorilla/mux"
+	"github.com/rcrowley/go-metrics"
+
+	"crocustack/core/informer"
+	"crocustack/core/recorder"
+)
+
+// Node is what the admin API shows of a node.
+type Node interface {
+	Status() informer.Status
+	Links() []informer.Link
+	Limits() informer.Limits
+	// Release returns the document of the release in force.
+	Release() []byte
+	// Ready tells whether the node serves requests.
+	Ready() bool
+	// Drain starts a graceful stop and returns at once.
+	Drain()
+}
+
+// defaultDecisions is the number of decisions in an answer without a limit.
+const defaultDecisions = 100
+
+// Handler returns the admin API of a node.
+func Handler(n Node, rec *recorder.Recorder) http.Handler {
+	r := mux.NewRouter()
+	get := func(path string, read func() any) {
+		r.HandleFunc(path, func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, http.StatusOK, read()) }).Methods(http.MethodGet)
+	}
+	get("/status", func() any { return n.Status() })
+	get("/links", func() any { return n.Links() })
+	get("/limits", func() any { return n.Limits() })
+	r.HandleFunc("/decisions", func(w http.ResponseWriter, r *http.Request) { serveDecisions(w, r, rec) }).Methods(http.MethodGet)
+	r.HandleFunc("/release", func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "application/json")
+		_, _ = w.Write(n.Release())
+	}).Methods(http.MethodGet)
+	r.HandleFunc("/metrics", func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "application/json")
+		metrics.WriteJSONOnce(rec.Registry(), w)
+	}).Methods(http.MethodGet)
+	r.HandleFunc("/health", func(w http.ResponseWriter, _ *http.Request) { serveHealth(w, n) }).Methods(http.MethodGet)
+	r.HandleFunc("/drain", func(w http.ResponseWriter, _ *http.Request) {
+		n.Drain()
+		writeJSON(w, http.StatusAccepted, n.Status())
+	}).Methods(http.MethodPost)
+	return r
+}
+
+func serveDecisions(w http.ResponseWriter, r *http.Request, rec *recorder.Recorder) {
+	limit := defaultDecisions
+	if text := r.URL.Query().Get("limit"); text != "" {
+		n, err := strconv.Atoi(text)
+		if err != nil || n < 1 {
+			http.Error(w, "limit must be a whole number above 0", http.StatusBadRequest)
+			return
+		}
+		limit = n
+	}
+	writeJSON(w, http.StatusOK, rec.Recent(recorder.Filter{RequestID: r.URL.Query().Get("request"), Limit: limit}))
+}
+
+// serveHealth answers 503 while the node takes no new work, so that a plain
+// health check by status works.
+func serveHealth(w http.ResponseWriter, n Node) {
+	state, status := "Ready", http.StatusOK
+	switch {
+	case n.Status().Draining:
+		state, status = "Draining", http.StatusServiceUnavailable
+	case !n.Ready():
+		state, status = "Starting", http.StatusServiceUnavailable
+	}
+	writeJSON(w, status, struct{ State string }{state})
+}
+
+func writeJSON(w http.ResponseWriter, status int, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(v)
+}
--- /dev/null
+++ b/crocusd/internal/commander/commander.go
@@ -0,0 +1,80 @@
+// Package commander reads the command line of the node.
+package commander
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/jessevdk/go-flags"
+
+	"crocustack/core/configurer"
+	"crocustack/crocusd/internal/runner"
+)
+
+// Exit codes.
+const (
+	exitOK       = 0
+	exitFailed   = 1
+	exitUsage    = 2
+	exitFindings = 3
+)
+
+type options struct {
+	Settings string `long:"settings" value-name:"FILE" required:"true" description:"settings of the node (YAML)"`
+	Check    bool   `long:"check" description:"check the settings, print all findings and exit"`
+}
+
+const longDescription = `Runs one node beside its backend server. It serves until SIGTERM or SIGINT,
+then refuses new work, finishes what is in flight within DrainTimeout and exits.
+Exit codes: 0 stopped as asked, 1 failed, 2 usage, 3 findings in the settings.`
+
+// Run runs the command line and returns the exit code.
+func Run(args []string, out, errOut io.Writer) int {
+	var o options
+	p := flags.NewNamedParser("crocusd", flags.HelpFlag|flags.PassDoubleDash)
+	p.LongDescription = longDescription
+	if _, err := p.AddGroup("Options", "", &o); err != nil {
+		_, _ = fmt.Fprintln(errOut, err)
+		return exitFailed
+	}
+	if _, err := p.ParseArgs(args); err != nil {
+		if flags.WroteHelp(err) {
+			_, _ = fmt.Fprintln(out, err)
+			return exitOK
+		}
+		_, _ = fmt.Fprintln(errOut, err)
+		return exitUsage
+	}
+	b, err := os.ReadFile(o.Settings)
+	if err != nil {
+		_, _ = fmt.Fprintln(errOut, err)
+		return exitFailed
+	}
+	cfg, err := configurer.Load(o.Settings, b)
+	if err != nil {
+		_, _ = fmt.Fprintln(errOut, err)
+		return exitFindings
+	}
+	if o.Check {
+		return exitOK
+	}
+	return serve(cfg, errOut)
+}
+
+func serve(cfg configurer.Settings, errOut io.Writer) int {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	n, err := runner.New(cfg, errOut)
+	if err == nil {
+		err = n.Run(ctx)
+	}
+	if err != nil {
+		_, _ = fmt.Fprintln(errOut, err)
+		return exitFailed
+	}
+	return exitOK
+}
--- /dev/null
+++ b/crocusd/internal/forwarder/forwarder.go
@@ -0,0 +1,192 @@
+package forwarder
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"crocustack/core/admitter"
+	"crocustack/core/budgeter"
+	"crocustack/core/encoder"
+	"crocustack/core/gatekeeper"
+	"crocustack/core/linker"
+	"crocustack/core/recorder"
+	"crocustack/core/resolver"
+	"crocustack/core/router"
+	"crocustack/core/timekeeper"
+	"crocustack/crocusd/internal/tracer"
+)
+
+// Config holds the settings of the sending side.
+type Config struct {
+	HoldAnswerBytes int
+	TicketLifetime  time.Duration
+	// PassThrough selects the baseline policy.
+	PassThrough bool
+	// VoidTimeout bounds the question about a try whose link was lost.
+	VoidTimeout time.Duration
+	// RetryRatio is the share of retries for a service that the release does
+	// not name one for.
+	RetryRatio float64
+}
+
+// ratioBurst lets a service with little traffic retry at all.
+const ratioBurst = 10
+
+// Forwarder runs the loop over tries. It is safe for concurrent use.
+type Forwarder struct {
+	cfg    Config
+	boot   uint64
+	clock  timekeeper.Clock
+	links  *linker.Manager
+	router *router.Router
+	levels *admitter.Levels
+	calls  *tracer.Calls
+	rec    *recorder.Recorder
+	seq    *gatekeeper.Sequencer
+	minter *minter
+
+	mu sync.Mutex
+	// ratios holds the retry budget of each service that was called.
+	ratios map[string]*budgeter.Ratio
+}
+
+// New returns a forwarder for the sender incarnation boot.
+func New(cfg Config, boot uint64, clock timekeeper.Clock, links *linker.Manager, r *router.Router,
+	levels *admitter.Levels, calls *tracer.Calls, rec *recorder.Recorder,
+) *Forwarder {
+	return &Forwarder{
+		cfg: cfg, boot: boot, clock: clock, links: links, router: r, levels: levels, calls: calls, rec: rec,
+		seq: gatekeeper.NewSequencer(), minter: newMinter(), ratios: make(map[string]*budgeter.Ratio),
+	}
+}
+
+// Leaving drops what is kept for an upstream that takes no new work.
+func (f *Forwarder) Leaving(address string) { f.minter.drop(address) }
+
+func (f *Forwarder) ratio(service string) *budgeter.Ratio {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	r, ok := f.ratios[service]
+	if !ok {
+		r = budgeter.NewRatio(f.cfg.RetryRatio, ratioBurst)
+		f.ratios[service] = r
+	}
+	return r
+}
+
+// Forward sends a request until its outcome is known or no further try is
+// allowed. When the outcome is Ran, the sink has received the whole answer.
+func (f *Forwarder) Forward(ctx context.Context, q Request, sink Sink) Result {
+	if q.Depth == 0 && !f.cfg.PassThrough {
+		priority := admitter.Priority(q.Class, q.TreeID)
+		if !f.levels.Allows(f.clock.Now(), q.Service, q.Kind.Name, priority, rand.Uint64()) {
+			return Result{Outcome: resolver.NotRun{Reason: resolver.ReasonLevelBelowDownstream}}
+		}
+	}
+	ratio := f.ratio(q.Service)
+	ratio.Deposit()
+	loop := &loop{f: f, q: q, sink: sink, ratio: ratio}
+	return loop.run(ctx)
+}
+
+// loop is the state of one request between its tries.
+type loop struct {
+	f     *Forwarder
+	q     Request
+	sink  Sink
+	ratio *budgeter.Ratio
+	// excluded holds the upstreams that refused or failed the request.
+	excluded []string
+	result   Result
+}
+
+func (p *loop) run(ctx context.Context) Result {
+	ctx, cancel := context.WithDeadline(ctx, p.q.Deadline.Add(answerGrace))
+	defer cancel()
+	for {
+		upstream, reason := p.choose()
+		if reason != resolver.ReasonNone {
+			if p.result.Tries == 0 {
+				p.result.Outcome = resolver.NotRun{Reason: reason}
+			}
+			return p.result
+		}
+		t := &try{loop: p, upstream: upstream}
+		again := t.resolve(ctx)
+		if !again {
+			return p.result
+		}
+		p.excluded = append(p.excluded, upstream.Address)
+	}
+}
+
+// choose returns the upstream for the next try, or the reason why there is none.
+func (p *loop) choose() (router.Upstream, resolver.Reason) {
+	now := p.f.clock.Now()
+	var d router.Decision
+	switch {
+	case p.q.Ticket != nil:
+		home := p.q.Ticket.Home
+		d = router.Chosen{Upstream: router.Upstream{Service: home.Service, Address: home.Address}, Why: "ticket"}
+	case p.q.Key != "" && !p.q.Kind.Idempotent:
+		d = p.f.router.Home(p.q.Service, p.q.Key)
+	default:
+		d = p.f.router.Pick(now, p.q.Service, p.excluded, rand.Uint64())
+	}
+	switch d := d.(type) {
+	case router.Chosen:
+		p.record(recorder.KindRoute, d.Upstream.Address, nil, resolver.ReasonNone, d.Why)
+		return d.Upstream, resolver.ReasonNone
+	case router.None:
+		p.record(recorder.KindRoute, "", nil, d.Reason, "no upstream")
+		return router.Upstream{}, d.Reason
+	}
+	return router.Upstream{}, resolver.ReasonNoUpstream
+}
+
+func (p *loop) record(k recorder.Kind, upstream string, o resolver.Outcome, reason resolver.Reason, detail string) {
+	p.f.rec.Record(recorder.Decision{
+		Time: time.Now(), Kind: k, RequestID: p.q.ID, Service: p.q.Service, KindName: p.q.Kind.Name,
+		Class: p.q.Class, Upstream: upstream, Outcome: o, Reason: reason, Detail: detail,
+	})
+}
+
+// observe learns from the load that an answer carries.
+func (f *Forwarder) observe(q *Request, address string, ld *encoder.Load) {
+	if ld == nil {
+		return
+	}
+	now := f.clock.Now()
+	f.levels.Observe(now, q.Service, q.Kind.Name, ld.GetLevel())
+	if ld.GetDraining() {
+		f.router.MarkLeaving(now, address)
+		f.Leaving(address)
+	}
+}
+
+// receiveStored reads the answer that follows a VoidReply.
+func (f *Forwarder) receiveStored(s *linker.Stream, run *encoder.Run, sink Sink) resolver.Event {
+	got, err := receiveAnswer(s, run.GetId(), f.cfg.HoldAnswerBytes, sink)
+	return eventOf(got, err)
+}
+
+// eventOf turns what was read of an answer into an event.
+func eventOf(got received, err error) resolver.Event {
+	if got.head == nil {
+		return resolver.LinkLost{}
+	}
+	switch got.head.GetOutcome() {
+	case encoder.Outcome_OUTCOME_NOT_RUN:
+		return resolver.AnswerNotRun{Reason: resolver.Reason(got.head.GetReason())}
+	case encoder.Outcome_OUTCOME_RAN:
+		if err == nil && got.whole {
+			return resolver.AnswerRan{Status: int(got.head.GetStatus())}
+		}
+		return resolver.AnswerUnknown{Reason: resolver.ReasonBroken}
+	default:
+		return resolver.AnswerUnknown{Reason: resolver.Reason(got.head.GetReason())}
+	}
+}
+
--- /dev/null
+++ b/crocusd/internal/forwarder/minter.go
@@ -0,0 +1,174 @@
+package forwarder
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"crocustack/core/encoder"
+	"crocustack/core/gatekeeper"
+	"crocustack/core/resolver"
+	"crocustack/core/router"
+)
+
+// Tickets are fetched in blocks, so that a first request does not pay a round
+// trip for its ticket.
+const (
+	mintBlock   = 16
+	mintTimeout = 2 * time.Second
+)
+
+// shelf holds fetched tickets of one kind.
+type shelf struct {
+	tickets []gatekeeper.Ticket
+	// expires is on this node's clock and half of the lifetime after the
+	// fetch, so that a caller still has time to use the ticket.
+	expires time.Duration
+}
+
+// minter keeps tickets for callers. It is safe for concurrent use.
+type minter struct {
+	mu sync.Mutex
+	// shelves is keyed by kind; a shelf past its expiry is not used.
+	shelves map[string]shelf
+}
+
+func newMinter() *minter { return &minter{shelves: make(map[string]shelf)} }
+
+func (m *minter) take(now time.Duration, kind string, n int) []gatekeeper.Ticket {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	s := m.shelves[kind]
+	if now >= s.expires || len(s.tickets) < n {
+		return nil
+	}
+	taken := s.tickets[:n:n]
+	s.tickets = s.tickets[n:]
+	m.shelves[kind] = s
+	return taken
+}
+
+func (m *minter) put(kind string, s shelf) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.shelves[kind] = s
+}
+
+// drop forgets the tickets of a home that is leaving or gone.
+func (m *minter) drop(address string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for kind, s := range m.shelves {
+		if len(s.tickets) > 0 && s.tickets[0].Home.Address == address {
+			delete(m.shelves, kind)
+		}
+	}
+}
+
+// Tickets returns n tickets for a kind, all of one upstream, and their
+// lifetime. An error means that no upstream could be asked.
+func (f *Forwarder) Tickets(ctx context.Context, service, kind string, n int) ([]gatekeeper.Ticket, time.Duration, error) {
+	if ts := f.minter.take(f.clock.Now(), kind, n); ts != nil {
+		return ts, f.cfg.TicketLifetime / 2, nil
+	}
+	var excluded []string
+	var last error
+	for range maxMintTries {
+		d, ok := f.router.Pick(f.clock.Now(), service, excluded, rand.Uint64()).(router.Chosen)
+		if !ok {
+			break
+		}
+		ts, lifetime, err := f.fetch(ctx, d.Upstream.Address, service, kind, n+mintBlock)
+		if err == nil && len(ts) >= n {
+			f.minter.put(kind, shelf{tickets: ts[n:], expires: f.clock.Now() + lifetime/2})
+			return ts[:n:n], lifetime, nil
+		}
+		last = err
+		excluded = append(excluded, d.Upstream.Address)
+	}
+	if last == nil {
+		last = errors.Newf("no upstream of %s gave a ticket for %s", service, kind)
+	}
+	return nil, 0, last
+}
+
+const maxMintTries = 3
+
+func (f *Forwarder) fetch(ctx context.Context, address, service, kind string, n int) ([]gatekeeper.Ticket, time.Duration, error) {
+	ctx, cancel := context.WithTimeout(ctx, mintTimeout)
+	defer cancel()
+	l, err := f.links.Get(ctx, address)
+	if err != nil {
+		return nil, 0, err
+	}
+	s, err := l.OpenStream()
+	if err != nil {
+		return nil, 0, err
+	}
+	defer l.Done()
+	defer func() { _ = s.Close() }()
+	defer bindStream(ctx, s, time.Now().Add(mintTimeout))()
+	ask := &encoder.Request{Message: &encoder.Request_Mint{Mint: &encoder.Mint{Service: service, Kind: kind, Count: uint32(n)}}}
+	if err := s.Send(ask); err != nil {
+		return nil, 0, err
+	}
+	reply := &encoder.MintReply{}
+	if err := s.Receive(reply); err != nil {
+		return nil, 0, err
+	}
+	tickets := make([]gatekeeper.Ticket, 0, len(reply.GetTickets()))
+	for _, t := range reply.GetTickets() {
+		ticket, err := gatekeeper.TicketFromMessage(t)
+		if err != nil {
+			return nil, 0, err
+		}
+		tickets = append(tickets, ticket)
+	}
+	return tickets, time.Duration(reply.GetLifetimeSeconds()) * time.Second, nil
+}
+
+// askVoid asks the gate of an incarnation to void a try. When the try has ended
+// there, the stored answer goes to the sink.
+func (f *Forwarder) askVoid(ctx context.Context, run *encoder.Run, sink Sink) resolver.Event {
+	target := run.GetTarget()
+	l, err := f.links.Get(ctx, target.GetAddress())
+	if err != nil {
+		return resolver.VoidFailed{}
+	}
+	if l.Peer().GetIncarnation().GetBootId() != target.GetBootId() {
+		return resolver.VoidForeign{}
+	}
+	s, err := l.OpenStream()
+	if err != nil {
+		return resolver.VoidFailed{}
+	}
+	defer l.Done()
+	defer func() { _ = s.Close() }()
+	deadline, _ := ctx.Deadline()
+	defer bindStream(ctx, s, deadline)()
+	ask := &encoder.Request{Message: &encoder.Request_Void{Void: &encoder.Void{Id: run.GetId(), Target: target}}}
+	if err := s.Send(ask); err != nil {
+		return resolver.VoidFailed{}
+	}
+	reply := &encoder.VoidReply{}
+	if err := s.Receive(reply); err != nil {
+		return resolver.VoidFailed{}
+	}
+	switch reply.GetResult() {
+	case encoder.VoidResult_VOID_RESULT_VOIDED:
+		return resolver.VoidVoided{}
+	case encoder.VoidResult_VOID_RESULT_RUNNING:
+		return resolver.VoidRunning{}
+	case encoder.VoidResult_VOID_RESULT_DONE:
+		return f.receiveStored(s, run, sink)
+	case encoder.VoidResult_VOID_RESULT_SETTLED:
+		return resolver.VoidSettled{}
+	case encoder.VoidResult_VOID_RESULT_FOREIGN:
+		return resolver.VoidForeign{}
+	default:
+		return resolver.VoidFailed{}
+	}
+}
--- /dev/null
+++ b/crocusd/internal/forwarder/request.go
@@ -0,0 +1,62 @@
+package forwarder
+
+import (
+	"time"
+
+	"crocustack/core/budgeter"
+	"crocustack/core/classifier"
+	"crocustack/core/encoder"
+	"crocustack/core/gatekeeper"
+	"crocustack/core/resolver"
+)
+
+// Request is one request to a service. It is not changed once built.
+type Request struct {
+	// ID names the caller's request in logs and ledgers; the calls made for it
+	// have ids of their own below it.
+	ID      string
+	Service string
+	Kind    classifier.Kind
+	// Class is that of the whole tree, which may differ from the kind's.
+	Class  classifier.Class
+	TreeID uint64
+	Depth  uint32
+	// Deadline is on this node's clock; nobody else sees it.
+	Deadline time.Time
+	// Pool holds the retries of the tree that this node may hand down; nil
+	// when the request may not be retried.
+	Pool    *budgeter.Pool
+	Method  string
+	Path    string // Path and query below the service, beginning with "/".
+	Headers []*encoder.Header
+	Body    []byte
+	Ticket  *gatekeeper.Ticket
+	Key     string
+	// Repeat says that the caller has sent the request before.
+	Repeat bool
+	// First says that the caller stated that it never sent the request before.
+	First bool
+	// Parent is the kind of the inbound request of an outbound call, or "".
+	Parent string
+}
+
+// Sink receives an answer. Head comes first and once.
+type Sink interface {
+	// Head starts the answer. length is -1 when it is not known yet.
+	Head(status int, headers []*encoder.Header, length int64)
+	Write(b []byte) error
+	// Abort ends an answer that broke off after Head, so that the caller can't
+	// take it for whole.
+	Abort()
+}
+
+// Result is what is known about a request when its loop ends.
+type Result struct {
+	Outcome resolver.Outcome
+	// Upstream is the address of the last upstream that was tried.
+	Upstream string
+	// Tries is the number of tries that were sent.
+	Tries int
+	// Ticket is set with reason TicketRequired.
+	Ticket *gatekeeper.Ticket
+}
--- /dev/null
+++ b/crocusd/internal/handler/admission.go
@@ -0,0 +1,125 @@
+package handler
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"crocustack/core/admitter"
+	"crocustack/core/resolver"
+	"crocustack/core/timekeeper"
+)
+
+// tickInterval bounds how late a queued request learns that its time is up.
+const tickInterval = 10 * time.Millisecond
+
+// admission lets requests wait for the decisions of an Admitter.
+type admission struct {
+	clock timekeeper.Clock
+
+	mu sync.Mutex
+	a  *admitter.Admitter
+	// waiting holds a channel of capacity 1 for each request that was offered
+	// and has no final decision yet.
+	waiting map[uint64]chan admitter.Decision
+	nextID  uint64
+}
+
+func newAdmission(clock timekeeper.Clock, cfg admitter.Config) *admission {
+	return &admission{clock: clock, a: admitter.New(cfg), waiting: make(map[uint64]chan admitter.Decision)}
+}
+
+// enter waits until the request is admitted or shed. The caller must call leave
+// after an admission.
+func (s *admission) enter(ctx context.Context, r admitter.Request) (uint64, resolver.Reason) {
+	ch := make(chan admitter.Decision, 1)
+	s.mu.Lock()
+	s.nextID++
+	r.ID = s.nextID
+	s.waiting[r.ID] = ch
+	s.deliver(s.a.Offer(s.clock.Now(), r))
+	s.mu.Unlock()
+
+	select {
+	case d := <-ch:
+		return s.conclude(r.ID, d)
+	case <-ctx.Done():
+	}
+	s.mu.Lock()
+	s.deliver(s.a.Cancel(s.clock.Now(), r.ID))
+	delete(s.waiting, r.ID)
+	s.mu.Unlock()
+	select {
+	case d := <-ch:
+		// The admission and the cancellation crossed: give the place back.
+		if id, reason := s.conclude(r.ID, d); reason == resolver.ReasonNone {
+			s.leave(id, admitter.Result{Cancelled: true})
+		}
+	default:
+	}
+	if ctx.Err() == context.DeadlineExceeded {
+		return 0, resolver.ReasonDeadlineExceeded
+	}
+	return 0, resolver.ReasonCancelled
+}
+
+func (s *admission) conclude(id uint64, d admitter.Decision) (uint64, resolver.Reason) {
+	if shed, ok := d.(admitter.Shed); ok {
+		return 0, shed.Reason
+	}
+	return id, resolver.ReasonNone
+}
+
+// leave gives the place of an admitted request back.
+func (s *admission) leave(id uint64, res admitter.Result) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.deliver(s.a.Release(s.clock.Now(), id, res))
+}
+
+func (s *admission) load() admitter.Load {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.a.Load()
+}
+
+func (s *admission) setSlots(n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.a.SetSlots(s.clock.Now(), n)
+}
+
+// run lets time pass for queued requests until ctx ends.
+func (s *admission) run(ctx context.Context) {
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			s.mu.Lock()
+			s.deliver(s.a.Tick(s.clock.Now()))
+			s.mu.Unlock()
+		}
+	}
+}
+
+// deliver hands final decisions to the requests that wait for them.
+func (s *admission) deliver(ds []admitter.Decision) {
+	for _, d := range ds {
+		var id uint64
+		switch d := d.(type) {
+		case admitter.Admit:
+			id = d.ID
+		case admitter.Shed:
+			id = d.ID
+		case admitter.Queue:
+			continue
+		}
+		if ch, ok := s.waiting[id]; ok {
+			ch <- d
+			delete(s.waiting, id)
+		}
+	}
+}
--- /dev/null
+++ b/crocusd/internal/handler/execute.go
@@ -0,0 +1,184 @@
+package handler
+
+import (
+	"context"
+	"io"
+	"net/http"
+
+	"github.com/cespare/xxhash/v2"
+
+	"crocustack/core/admitter"
+	"crocustack/core/budgeter"
+	"crocustack/core/encoder"
+	"crocustack/core/gatekeeper"
+	"crocustack/core/linker"
+	"crocustack/core/recorder"
+	"crocustack/core/resolver"
+	"crocustack/crocusd/internal/tracer"
+)
+
+// execute hands an admitted request to the backend server and sends what comes
+// of it.
+func (h *Handler) execute(ctx context.Context, s *linker.Stream, m *encoder.Run, body []byte, gone <-chan struct{}) admitter.Result {
+	run := h.newRun(ctx, m)
+	h.runs.Add(run)
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	if h.cancellable(m) {
+		done := make(chan struct{})
+		defer close(done)
+		go func() {
+			select {
+			case <-gone:
+				cancel()
+			case <-done:
+			}
+		}()
+	}
+	start := h.clock.Now()
+	r := h.call(ctx, m, body, run)
+	result := admitter.Result{}
+	switch r := r.(type) {
+	case answered:
+		h.deliver(s, m, run, r.resp)
+	case notRun:
+		if r.draining {
+			h.Leave()
+		}
+		h.runs.Remove(run)
+		h.withdraw(m)
+		h.refuse(s, m, r.reason, nil)
+		result.Refused = true
+	case lost:
+		h.runs.Remove(run)
+		h.finish(m, gatekeeper.Answer{Outcome: resolver.Unknown{Reason: r.reason}})
+		h.doubt(s, m, r.reason, 0)
+	}
+	result.Latency = h.clock.Now() - start
+	result.Cancelled = ctx.Err() != nil
+	return result
+}
+
+// cancellable tells whether a sender that goes away ends the run. A run that a
+// repeat may ask for again goes on, so that its answer can be kept.
+func (h *Handler) cancellable(m *encoder.Run) bool {
+	return m.GetIdempotent() && m.GetTicket() == nil && m.GetKey() == ""
+}
+
+func (h *Handler) newRun(ctx context.Context, m *encoder.Run) *tracer.Run {
+	traceID := ""
+	for _, hd := range m.GetHeaders() {
+		if hd.GetName() == headerTrace && len(hd.GetValues()) > 0 {
+			traceID = tracer.TraceID(hd.GetValues()[0])
+		}
+	}
+	if traceID == "" {
+		traceID = newToken() + newToken()
+	}
+	return &tracer.Run{
+		Token: newToken(), TraceID: traceID, RequestID: m.GetRequestId(), Kind: m.GetKind(), Class: classOf(m),
+		TreeID: m.GetTreeId(), Depth: m.GetDepth(), Deadline: deadlineOf(ctx), Pool: budgeter.NewPool(m.GetAllowance()),
+	}
+}
+
+// deliver sends the backend server's response: held until whole when it is
+// short, streamed when it is long.
+func (h *Handler) deliver(s *linker.Stream, m *encoder.Run, run *tracer.Run, resp *http.Response) {
+	defer func() { _ = resp.Body.Close() }()
+	held, err := io.ReadAll(io.LimitReader(resp.Body, h.cfg.HoldAnswerBytes+1))
+	long := int64(len(held)) > h.cfg.HoldAnswerBytes
+	if err != nil {
+		h.runs.Remove(run)
+		h.finish(m, gatekeeper.Answer{Outcome: resolver.Unknown{Reason: resolver.ReasonBroken}})
+		h.doubt(s, m, resolver.ReasonBroken, 0)
+		return
+	}
+	head := &encoder.Answer{
+		Id: m.GetId(), Outcome: encoder.Outcome_OUTCOME_RAN, Status: uint32(resp.StatusCode),
+		Headers: PassedHeaders(resp.Header), Load: h.loadMessage(m.GetKind()), BodyLength: -1,
+		Responder: IncarnationMessage(h.self),
+	}
+	if long {
+		h.stream(s, m, run, head, held, resp.Body)
+		return
+	}
+	head.BodyLength = int64(len(held))
+	h.runs.Remove(run)
+	outcome := resolver.Ran{Status: resp.StatusCode}
+	h.finish(m, gatekeeper.Answer{Status: resp.StatusCode, Headers: head.GetHeaders(), Body: held, Outcome: outcome})
+	h.record(m, recorder.KindAnswer, outcome, "")
+	sendWhole(s, head, held, takeRest(run.Pool))
+}
+
+// takeRest empties a pool and returns what it held. What is lent at that time
+// counts as spent: the answer leaves before it can come back.
+func takeRest(p *budgeter.Pool) uint32 {
+	rest := uint32(0)
+	for n := p.LendHalf(); n > 0; n = p.LendHalf() {
+		rest += n
+	}
+	return rest
+}
+
+// sendWhole sends an answer with a body that is known to be whole.
+func sendWhole(s *linker.Stream, head *encoder.Answer, body []byte, unspent uint32) {
+	end := &encoder.BodyFrame{Frame: &encoder.BodyFrame_End{End: &encoder.End{
+		Length: uint64(len(body)), Xxhash64: xxhash.Sum64(body), Unspent: unspent,
+	}}}
+	if len(body) <= encoder.ChunkBytes {
+		_ = s.Send(head, dataFrame(body), end)
+		return
+	}
+	if s.Send(head) != nil || sendChunks(s, body) != nil {
+		return
+	}
+	_ = s.Send(end)
+}
+
+func dataFrame(b []byte) *encoder.BodyFrame {
+	return &encoder.BodyFrame{Frame: &encoder.BodyFrame_Data{Data: b}}
+}
+
+func sendChunks(s *linker.Stream, body []byte) error {
+	for len(body) > 0 {
+		n := min(len(body), encoder.ChunkBytes)
+		if err := s.Send(dataFrame(body[:n])); err != nil {
+			return err
+		}
+		body = body[n:]
+	}
+	return nil
+}
+
+// stream sends a long answer as it comes. Its end says whether it was whole.
+func (h *Handler) stream(s *linker.Stream, m *encoder.Run, run *tracer.Run, head *encoder.Answer, first []byte, rest io.Reader) {
+	digest := xxhash.New()
+	length := uint64(0)
+	send := func(b []byte) error {
+		_, _ = digest.Write(b)
+		length += uint64(len(b))
+		return sendChunks(s, b)
+	}
+	err := s.Send(head)
+	if err == nil {
+		err = send(first)
+	}
+	buffer := make([]byte, encoder.ChunkBytes)
+	for err == nil {
+		var n int
+		n, err = rest.Read(buffer)
+		if n > 0 {
+			if sendErr := send(buffer[:n]); sendErr != nil {
+				err = sendErr
+			}
+		}
+	}
+	h.runs.Remove(run)
+	// A long answer is not kept, so a repeat can't be given it again.
+	h.finish(m, gatekeeper.Answer{Outcome: resolver.Unknown{Reason: resolver.ReasonSettled}})
+	_ = s.Send(&encoder.BodyFrame{Frame: &encoder.BodyFrame_End{End: &encoder.End{
+		Length: length, Xxhash64: digest.Sum64(), Aborted: err != io.EOF, Unspent: takeRest(run.Pool),
+	}}})
+	h.record(m, recorder.KindAnswer, resolver.Ran{Status: int(head.GetStatus())}, "streamed")
+}
+
--- /dev/null
+++ b/crocusd/internal/handler/handler.go
@@ -0,0 +1,498 @@
+package handler
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"crocustack/core/admitter"
+	"crocustack/core/classifier"
+	"crocustack/core/detector"
+	"crocustack/core/encoder"
+	"crocustack/core/gatekeeper"
+	"crocustack/core/linker"
+	"crocustack/core/recorder"
+	"crocustack/core/resolver"
+	"crocustack/core/timekeeper"
+	"crocustack/crocusd/internal/tracer"
+)
+
+// Config holds the settings of the gate side.
+type Config struct {
+	BackendURL      string // Without a slash at the end.
+	MaxBodyBytes    int64
+	HoldAnswerBytes int64 // Answers up to this size are held until whole.
+	MaxConns        int   // Connections to the backend server.
+	// PassThrough turns the admission off, for the baseline.
+	PassThrough    bool
+	PauseThreshold time.Duration
+	Admission      admitter.Config
+	Gate           gatekeeper.Config
+}
+
+// Handler serves the exchanges that other nodes open. It is safe for
+// concurrent use.
+type Handler struct {
+	cfg    Config
+	self   gatekeeper.Incarnation
+	clock  timekeeper.Clock
+	client *http.Client
+	runs   *tracer.Registry
+	calls  *tracer.Calls
+	levels *admitter.Levels
+	rec    *recorder.Recorder
+	adm    *admission
+	pause  *detector.Pause
+
+	gateMu sync.Mutex
+	gate   *gatekeeper.Gate
+	// finished holds a channel for each try that is running; it is closed
+	// when the try is finished or withdrawn.
+	finished map[gatekeeper.AttemptID]chan struct{}
+
+	draining atomic.Bool
+	active   atomic.Int64
+}
+
+// New returns a handler for the backend server of this node.
+func New(cfg Config, self gatekeeper.Incarnation, clock timekeeper.Clock, runs *tracer.Registry,
+	calls *tracer.Calls, levels *admitter.Levels, rec *recorder.Recorder,
+) *Handler {
+	return &Handler{
+		cfg: cfg, self: self, clock: clock, runs: runs, calls: calls, levels: levels, rec: rec,
+		client:   &http.Client{Transport: backendTransport(cfg.MaxConns), CheckRedirect: noRedirect},
+		adm:      newAdmission(clock, cfg.Admission),
+		pause:    detector.NewPause(cfg.PauseThreshold),
+		gate:     gatekeeper.New(cfg.Gate, self),
+		finished: make(map[gatekeeper.AttemptID]chan struct{}),
+	}
+}
+
+// noRedirect hands a redirect to the caller instead of following it: following
+// would run a second request.
+func noRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+
+// Run lets time pass for the admission and the pause detection until ctx ends.
+func (h *Handler) Run(ctx context.Context) {
+	go h.adm.run(ctx)
+	ticker := time.NewTicker(h.cfg.PauseThreshold / 4)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			h.pause.Tick(h.clock.Now())
+		}
+	}
+}
+
+// Leave refuses new work from now on.
+func (h *Handler) Leave() {
+	if h.draining.Swap(true) {
+		return
+	}
+	h.gateMu.Lock()
+	h.gate.Leave()
+	h.gateMu.Unlock()
+	h.rec.Record(recorder.Decision{Time: time.Now(), Kind: recorder.KindDrain, Service: h.self.Service, Reason: resolver.ReasonDraining})
+}
+
+// Draining tells whether Leave was called.
+func (h *Handler) Draining() bool { return h.draining.Load() }
+
+// Active is the number of requests that have arrived and are not yet answered.
+func (h *Handler) Active() int64 { return h.active.Load() }
+
+// SetSlots changes the bound on concurrent requests at the backend server.
+func (h *Handler) SetSlots(n int) { h.adm.setSlots(n) }
+
+// Load returns the load of the gate for the admin API.
+func (h *Handler) Load() admitter.Load { return h.adm.load() }
+
+// Stream serves one exchange.
+func (h *Handler) Stream(l *linker.Link, s *linker.Stream) {
+	req := &encoder.Request{}
+	if err := s.Receive(req); err != nil {
+		return
+	}
+	switch m := req.GetMessage().(type) {
+	case *encoder.Request_Run:
+		h.active.Add(1)
+		defer h.active.Add(-1)
+		h.serveRun(l, s, m.Run)
+	case *encoder.Request_Void:
+		h.serveVoid(s, m.Void)
+	case *encoder.Request_Mint:
+		h.serveMint(s, m.Mint)
+	}
+}
+
+func (h *Handler) serveMint(s *linker.Stream, m *encoder.Mint) {
+	reply := &encoder.MintReply{LifetimeSeconds: uint32(h.cfg.Gate.TicketLifetime.Seconds())}
+	if m.GetService() == h.self.Service && !h.Draining() {
+		h.gateMu.Lock()
+		tickets := h.gate.Mint(h.clock.Now(), m.GetKind(), int(min(m.GetCount(), maxMint)))
+		h.gateMu.Unlock()
+		for _, t := range tickets {
+			reply.Tickets = append(reply.Tickets, t.Message())
+		}
+	}
+	_ = s.Send(reply)
+}
+
+// maxMint bounds the tickets of one Mint message.
+const maxMint = 256
+
+// voidWait bounds how long a Void of a running try waits for its end, so that
+// the sender gets the answer in place of a second question.
+const voidWait = 10 * time.Second
+
+func (h *Handler) serveVoid(s *linker.Stream, m *encoder.Void) {
+	id := attemptID(m.GetId())
+	target := incarnation(m.GetTarget())
+	timer := time.NewTimer(voidWait)
+	defer timer.Stop()
+	gone := senderGone(s)
+	for {
+		h.gateMu.Lock()
+		decision := h.gate.Void(h.clock.Now(), id, target)
+		end := h.finished[id]
+		h.gateMu.Unlock()
+		if _, ok := decision.(gatekeeper.Running); ok && end != nil {
+			select {
+			case <-end:
+				continue
+			case <-gone:
+				return
+			case <-timer.C:
+			}
+		}
+		h.sendVoidReply(s, m, decision)
+		return
+	}
+}
+
+func (h *Handler) sendVoidReply(s *linker.Stream, m *encoder.Void, d gatekeeper.VoidDecision) {
+	switch d := d.(type) {
+	case gatekeeper.Voided:
+		_ = s.Send(&encoder.VoidReply{Result: encoder.VoidResult_VOID_RESULT_VOIDED})
+	case gatekeeper.Running:
+		_ = s.Send(&encoder.VoidReply{Result: encoder.VoidResult_VOID_RESULT_RUNNING})
+	case gatekeeper.Done:
+		if err := s.Send(&encoder.VoidReply{Result: encoder.VoidResult_VOID_RESULT_DONE}); err != nil {
+			return
+		}
+		h.sendStored(s, m.GetId(), d.Answer)
+	case gatekeeper.Settled:
+		_ = s.Send(&encoder.VoidReply{Result: encoder.VoidResult_VOID_RESULT_SETTLED})
+	case gatekeeper.Foreign:
+		_ = s.Send(&encoder.VoidReply{Result: encoder.VoidResult_VOID_RESULT_FOREIGN})
+	}
+}
+
+func (h *Handler) serveRun(l *linker.Link, s *linker.Stream, m *encoder.Run) {
+	body, err := h.readBody(s, m)
+	if err != nil {
+		h.refuse(s, m, resolver.ReasonBodyTooLarge, nil)
+		return
+	}
+	remaining := time.Duration(min(m.GetRemainingMicros(), maxRemainingMicros)) * time.Microsecond
+	ctx, cancel := context.WithTimeout(context.Background(), remaining)
+	defer cancel()
+	gone := senderGone(s)
+	if h.pause.Suspect(h.clock.Now()) && !h.confirm(l, gone) {
+		return
+	}
+	if !h.begin(ctx, s, m, gone) {
+		return
+	}
+	h.admit(ctx, s, m, body, gone)
+}
+
+// maxRemainingMicros bounds the time that a sender may ask for to one hour.
+const maxRemainingMicros = 3600 * 1e6
+
+// errBody says that the body of a Run was larger than allowed or cut short.
+var errBody = errors.New("request body is too large or cut short")
+
+func (h *Handler) readBody(s *linker.Stream, m *encoder.Run) ([]byte, error) {
+	if m.GetBodyLength() > uint64(h.cfg.MaxBodyBytes) {
+		return nil, errBody
+	}
+	body := make([]byte, 0, m.GetBodyLength())
+	chunk := &encoder.Chunk{}
+	for uint64(len(body)) < m.GetBodyLength() {
+		if err := s.Receive(chunk); err != nil {
+			return nil, err
+		}
+		body = append(body, chunk.GetData()...)
+	}
+	if uint64(len(body)) != m.GetBodyLength() {
+		return nil, errBody
+	}
+	return body, nil
+}
+
+// senderGone returns a channel that is closed when the sender closed the stream
+// or its link broke.
+func senderGone(s *linker.Stream) <-chan struct{} {
+	gone := make(chan struct{})
+	go func() {
+		defer close(gone)
+		_ = s.Receive(&encoder.Chunk{})
+	}()
+	return gone
+}
+
+// confirm holds a request that was read after this process was paused until a
+// round trip shows that the link is alive. The sender may have given the
+// request up meanwhile; it then closed the stream or the link.
+func (h *Handler) confirm(l *linker.Link, gone <-chan struct{}) bool {
+	if err := l.Ping(); err != nil {
+		return false
+	}
+	select {
+	case <-gone:
+		return false
+	default:
+		return true
+	}
+}
+
+// begin asks the gate. It returns true when the request may go on to admission
+// and has answered it otherwise.
+func (h *Handler) begin(ctx context.Context, s *linker.Stream, m *encoder.Run, gone <-chan struct{}) bool {
+	b, err := beginOf(m)
+	if err != nil {
+		h.refuse(s, m, resolver.ReasonBadRequest, nil)
+		return false
+	}
+	for {
+		h.gateMu.Lock()
+		decision := h.gate.Begin(h.clock.Now(), b)
+		var leader chan struct{}
+		switch d := decision.(type) {
+		case gatekeeper.Start:
+			h.finished[attemptID(m.GetId())] = make(chan struct{})
+		case gatekeeper.Join:
+			leader = h.finished[d.Leader]
+		}
+		h.gateMu.Unlock()
+
+		switch d := decision.(type) {
+		case gatekeeper.Start:
+			return true
+		case gatekeeper.Refuse:
+			h.refuse(s, m, d.Reason, nil)
+			return false
+		case gatekeeper.Replay:
+			h.record(m, recorder.KindAdmit, resolver.Ran{Status: d.Answer.Status}, "stored answer")
+			h.sendStored(s, m.GetId(), d.Answer)
+			return false
+		case gatekeeper.Doubt:
+			h.doubt(s, m, d.Reason, 0)
+			return false
+		case gatekeeper.Join:
+			if !wait(ctx, leader, gone) {
+				h.doubt(s, m, resolver.ReasonDeadlineExceeded, 0)
+				return false
+			}
+		}
+	}
+}
+
+// wait returns true when the leader ended, and false when the joiner's time was
+// up or its sender went away first. A nil leader has ended already.
+func wait(ctx context.Context, leader chan struct{}, gone <-chan struct{}) bool {
+	if leader == nil {
+		return true
+	}
+	select {
+	case <-leader:
+		return true
+	case <-ctx.Done():
+		return false
+	case <-gone:
+		return false
+	}
+}
+
+// admit waits for the admission and runs the request.
+func (h *Handler) admit(ctx context.Context, s *linker.Stream, m *encoder.Run, body []byte, gone <-chan struct{}) {
+	waitCtx, cancelWait := context.WithCancel(ctx)
+	defer cancelWait()
+	stop := context.AfterFunc(ctx, cancelWait)
+	defer stop()
+	admitted := make(chan struct{})
+	go func() {
+		select {
+		case <-gone:
+			cancelWait()
+		case <-admitted:
+		}
+	}()
+	arrived := h.clock.Now()
+	id, reason := uint64(0), resolver.ReasonNone
+	if !h.cfg.PassThrough {
+		id, reason = h.adm.enter(waitCtx, admitter.Request{
+			Class: classOf(m), Depth: m.GetDepth(), TreeID: m.GetTreeId(), Deadline: arrived + time.Until(deadlineOf(ctx)),
+		})
+	}
+	close(admitted)
+	if reason != resolver.ReasonNone {
+		h.withdraw(m)
+		h.refuse(s, m, reason, nil)
+		return
+	}
+	h.record(m, recorder.KindAdmit, nil, "")
+	result := h.execute(ctx, s, m, body, gone)
+	if !h.cfg.PassThrough {
+		h.adm.leave(id, result)
+	}
+}
+
+func deadlineOf(ctx context.Context) time.Time {
+	d, _ := ctx.Deadline()
+	return d
+}
+
+func (h *Handler) withdraw(m *encoder.Run) {
+	h.end(m, func(id gatekeeper.AttemptID) { h.gate.Withdraw(h.clock.Now(), id) })
+}
+
+func (h *Handler) finish(m *encoder.Run, a gatekeeper.Answer) {
+	h.end(m, func(id gatekeeper.AttemptID) { h.gate.Finish(h.clock.Now(), id, a) })
+}
+
+// end changes the gate's record of a running try and wakes those that wait for
+// it, in this order.
+func (h *Handler) end(m *encoder.Run, change func(gatekeeper.AttemptID)) {
+	id := attemptID(m.GetId())
+	h.gateMu.Lock()
+	defer h.gateMu.Unlock()
+	change(id)
+	if ch, ok := h.finished[id]; ok {
+		close(ch)
+		delete(h.finished, id)
+	}
+}
+
+// levelOf is the effective admission level for a kind: what a new tree of the
+// kind must reach here and in every service that its runs call.
+func (h *Handler) levelOf(kind string) uint32 {
+	now := h.clock.Now()
+	level := h.adm.load().Level
+	for _, c := range h.calls.Of(now, kind) {
+		level = max(level, h.levels.Effective(now, c.Service, c.Kind))
+	}
+	return level
+}
+
+func (h *Handler) loadMessage(kind string) *encoder.Load {
+	ld := h.adm.load()
+	return &encoder.Load{
+		InFlight: uint32(ld.InFlight), Queued: uint32(ld.Queued), Limit: uint32(ld.Limit),
+		Level: h.levelOf(kind), Draining: h.Draining(),
+	}
+}
+
+func (h *Handler) record(m *encoder.Run, k recorder.Kind, o resolver.Outcome, detail string) {
+	h.rec.Record(recorder.Decision{
+		Time: time.Now(), Kind: k, RequestID: m.GetRequestId(), Service: m.GetService(), KindName: m.GetKind(),
+		Class: classOf(m), Upstream: h.self.Address, Outcome: o, Detail: detail,
+	})
+}
+
+// refuse answers that the request was not run and never will be.
+func (h *Handler) refuse(s *linker.Stream, m *encoder.Run, reason resolver.Reason, ticket *encoder.Ticket) {
+	kind := recorder.KindRefuse
+	if reason.Overloaded() {
+		kind = recorder.KindShed
+	}
+	h.record(m, kind, resolver.NotRun{Reason: reason}, "")
+	if reason == resolver.ReasonTicketRequired && ticket == nil {
+		h.gateMu.Lock()
+		if ts := h.gate.Mint(h.clock.Now(), m.GetKind(), 1); len(ts) == 1 {
+			ticket = ts[0].Message()
+		}
+		h.gateMu.Unlock()
+	}
+	_ = s.Send(&encoder.Answer{
+		Id: m.GetId(), Outcome: encoder.Outcome_OUTCOME_NOT_RUN, Reason: uint32(reason),
+		Unspent: m.GetAllowance(), Load: h.loadMessage(m.GetKind()), Ticket: ticket, Responder: IncarnationMessage(h.self),
+	})
+}
+
+func (h *Handler) doubt(s *linker.Stream, m *encoder.Run, reason resolver.Reason, unspent uint32) {
+	h.record(m, recorder.KindRefuse, resolver.Unknown{Reason: reason}, "")
+	_ = s.Send(&encoder.Answer{
+		Id: m.GetId(), Outcome: encoder.Outcome_OUTCOME_UNKNOWN, Reason: uint32(reason),
+		Unspent: unspent, Load: h.loadMessage(m.GetKind()), Responder: IncarnationMessage(h.self),
+	})
+}
+
+// sendStored sends an answer that the gate kept.
+func (h *Handler) sendStored(s *linker.Stream, id *encoder.AttemptId, a gatekeeper.Answer) {
+	head := &encoder.Answer{Id: id, Load: &encoder.Load{Draining: h.Draining()}, Responder: IncarnationMessage(h.self)}
+	switch o := a.Outcome.(type) {
+	case resolver.Ran:
+		head.Outcome, head.Status = encoder.Outcome_OUTCOME_RAN, uint32(a.Status)
+		head.Headers, head.BodyLength = a.Headers, int64(len(a.Body))
+		sendWhole(s, head, a.Body, 0)
+		return
+	case resolver.NotRun:
+		head.Outcome, head.Reason = encoder.Outcome_OUTCOME_NOT_RUN, uint32(o.Reason)
+	case resolver.Unknown:
+		head.Outcome, head.Reason = encoder.Outcome_OUTCOME_UNKNOWN, uint32(o.Reason)
+	}
+	_ = s.Send(head)
+}
+
+func attemptID(m *encoder.AttemptId) gatekeeper.AttemptID {
+	return gatekeeper.AttemptID{SenderBoot: m.GetSenderBootId(), Sequence: m.GetSequence()}
+}
+
+func incarnation(m *encoder.Incarnation) gatekeeper.Incarnation {
+	return gatekeeper.Incarnation{Service: m.GetService(), Address: m.GetAddress(), BootID: m.GetBootId()}
+}
+
+// IncarnationMessage converts an incarnation for a message.
+func IncarnationMessage(i gatekeeper.Incarnation) *encoder.Incarnation {
+	return &encoder.Incarnation{Service: i.Service, Address: i.Address, BootId: i.BootID}
+}
+
+func beginOf(m *encoder.Run) (gatekeeper.Begin, error) {
+	b := gatekeeper.Begin{
+		ID: attemptID(m.GetId()), SettledBelow: m.GetSettledBelow(), Target: incarnation(m.GetTarget()),
+		Kind: m.GetKind(), Key: m.GetKey(),
+	}
+	if m.GetTicket() == nil {
+		return b, nil
+	}
+	t, err := gatekeeper.TicketFromMessage(m.GetTicket())
+	b.Ticket = &t
+	return b, err
+}
+
+// classOf reads the class of a run; a value out of range counts as the lowest.
+func classOf(m *encoder.Run) classifier.Class {
+	if m.GetClass() >= classifier.NumClasses {
+		return classifier.ClassBulk
+	}
+	return classifier.Class(m.GetClass())
+}
+
+// newToken returns a random span id of 16 hex digits (W3C Trace Context).
+func newToken() string {
+	var b [8]byte
+	_, _ = rand.Read(b[:])
+	return hex.EncodeToString(b[:])
+}
+
--- /dev/null
+++ b/crocusd/internal/runner/runner.go
@@ -0,0 +1,234 @@
+package runner
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/binary"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/go-logr/logr"
+
+	"crocustack/core/admitter"
+	"crocustack/core/configurer"
+	"crocustack/core/encoder"
+	"crocustack/core/gatekeeper"
+	"crocustack/core/informer"
+	"crocustack/core/linker"
+	"crocustack/core/recorder"
+	"crocustack/core/releaser"
+	"crocustack/core/router"
+	"crocustack/core/timekeeper"
+	"crocustack/core/watcher"
+	"crocustack/crocusd/internal/administrator"
+	"crocustack/crocusd/internal/forwarder"
+	"crocustack/crocusd/internal/handler"
+	"crocustack/crocusd/internal/prober"
+	"crocustack/crocusd/internal/server"
+	"crocustack/crocusd/internal/tracer"
+)
+
+// recentDecisions is the number of decisions that the admin API can show.
+const recentDecisions = 4096
+
+// voidTimeout bounds the question about a try whose link was lost.
+const voidTimeout = 2 * time.Second
+
+// Node is a running node.
+type Node struct {
+	cfg     configurer.Settings
+	log     logr.Logger
+	self    gatekeeper.Incarnation
+	clock   timekeeper.Clock
+	started time.Time
+
+	rec     *recorder.Recorder
+	links   *linker.Manager
+	router  *router.Router
+	levels  *admitter.Levels
+	handler *handler.Handler
+	forward *forwarder.Forwarder
+	server  *server.Server
+	source  *source
+
+	drainOnce sync.Once
+	// drain is closed when a graceful stop was asked for.
+	drain chan struct{}
+}
+
+// New puts a node together. It opens no socket.
+func New(cfg configurer.Settings, out io.Writer) (*Node, error) {
+	program, decisions, err := recorder.NewLogger(out, cfg.Log.Level, cfg.Log.Format, cfg.Log.Decisions)
+	if err != nil {
+		return nil, err
+	}
+	n := &Node{
+		cfg: cfg, log: program, clock: timekeeper.NewClock(), started: time.Now(), drain: make(chan struct{}),
+		self: gatekeeper.Incarnation{Service: cfg.Node.Service, Address: cfg.Node.Link, BootID: newBootID()},
+	}
+	n.rec = recorder.New(decisions, recentDecisions)
+	n.levels = admitter.NewLevels()
+	runs, calls := tracer.NewRegistry(), tracer.NewCalls()
+	n.router = router.New(router.Config{}, cfg.Node.Domain, cfg.Node.Region, n.self.BootID)
+	n.links = linker.New(linker.Config{
+		DialTimeout: time.Second, SilentAfter: cfg.Timing.SilentAfter, AbandonAfter: cfg.Timing.AbandonAfter, Idle: cfg.Timing.LinkIdle,
+	}, program, n)
+	passThrough := cfg.Policy == configurer.PolicyPassThrough
+	n.handler = handler.New(handler.Config{
+		BackendURL: cfg.Backend.URL, MaxBodyBytes: int64(cfg.Limits.MaxBodyBytes), HoldAnswerBytes: int64(cfg.Limits.HoldAnswerBytes),
+		PassThrough: passThrough, PauseThreshold: cfg.Timing.PauseThreshold,
+		Admission: admitter.Config{Slots: max(cfg.Backend.SlotsHint, 1)},
+		Gate: gatekeeper.Config{
+			MaxRecords: cfg.Limits.MaxRecords, MaxAnswerBytes: int(cfg.Limits.MaxAnswerBytes),
+			MaxAnswer: int(cfg.Limits.HoldAnswerBytes), TicketLifetime: cfg.Limits.TicketLifetime,
+		},
+	}, n.self, n.clock, runs, calls, n.levels, n.rec)
+	n.forward = forwarder.New(forwarder.Config{
+		HoldAnswerBytes: int(cfg.Limits.HoldAnswerBytes), TicketLifetime: cfg.Limits.TicketLifetime,
+		PassThrough: passThrough, VoidTimeout: voidTimeout,
+	}, n.self.BootID, n.clock, n.links, n.router, n.levels, calls, n.rec)
+	n.server = server.New(server.Config{
+		MaxBodyBytes: int64(cfg.Limits.MaxBodyBytes), BufferBytes: int64(cfg.Limits.BufferBytes),
+	}, n.view, n.Ready, n.forward, runs, n.rec)
+	n.source = &source{
+		client:   watcher.NewClient(cfg.Platform.URL, http.DefaultClient),
+		log:      func(msg string, err error) { program.Error(err, msg) },
+		onChange: n.apply,
+	}
+	n.source.current.Store(&snapshot{table: watcher.NewTable(watcher.Scope{All: true})})
+	return n, nil
+}
+
+func newBootID() uint64 {
+	var b [8]byte
+	_, _ = rand.Read(b[:])
+	return binary.LittleEndian.Uint64(b[:]) | 1 // Zero means "no incarnation".
+}
+
+func (n *Node) view() releaser.View { return n.source.current.Load().view }
+
+// Ready tells whether the node serves requests.
+func (n *Node) Ready() bool { return n.source.current.Load().ready }
+
+// apply puts a new snapshot in force.
+func (n *Node) apply(s *snapshot) {
+	now := n.clock.Now()
+	if svc, ok := s.view.Services[n.self.Service]; ok && n.cfg.Backend.SlotsHint == 0 {
+		n.handler.SetSlots(svc.Slots)
+	}
+	for name := range s.view.Services {
+		var us []router.Upstream
+		for _, i := range s.table.Service(name) {
+			if i.State == watcher.StateLive {
+				us = append(us, router.Upstream{Service: i.Service, Address: i.Address, Domain: i.Domain, Region: i.Region})
+			}
+		}
+		n.router.SetUpstreams(now, name, us)
+	}
+}
+
+// Run serves until ctx ends, then stops gracefully.
+func (n *Node) Run(ctx context.Context) error {
+	link, err := net.Listen("tcp", n.cfg.Node.Link)
+	if err != nil {
+		return errors.Wrap(err, "listen for links")
+	}
+	defer func() { _ = link.Close() }()
+	entry, err := n.serveHTTP(n.cfg.Node.Entry, n.server.Entry())
+	if err != nil {
+		return err
+	}
+	outbound, err := n.serveHTTP(n.cfg.Node.Outbound, n.server.Outbound())
+	if err != nil {
+		return err
+	}
+	admin, err := n.serveHTTP(n.cfg.Node.Admin, administrator.Handler(n, n.rec))
+	if err != nil {
+		return err
+	}
+	inner, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go func() { _ = n.links.Serve(link) }()
+	go n.handler.Run(inner)
+	go n.source.run(inner)
+	if n.cfg.Backend.HealthPath != "" {
+		go prober.New(n.cfg.Backend.URL+n.cfg.Backend.HealthPath).Run(inner, n.leave)
+	}
+	n.log.Info("node started", "Service", n.self.Service, "Link", n.self.Address, "Domain", n.cfg.Node.Domain, "BootID", informer.Digest(n.self.BootID).String())
+
+	select {
+	case <-ctx.Done():
+	case <-n.drain:
+	}
+	n.stop(entry, outbound)
+	n.links.Close()
+	return errors.Wrap(admin.Close(), "close admin listener")
+}
+
+func (n *Node) serveHTTP(address string, h http.Handler) (*http.Server, error) {
+	ln, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, errors.Wrapf(err, "listen on %s", address)
+	}
+	// The header timeout frees connections of callers that send nothing.
+	s := &http.Server{Handler: h, ReadHeaderTimeout: 10 * time.Second}
+	go func() {
+		if err := s.Serve(ln); err != nil && !errors.Is(err, http.ErrServerClosed) {
+			n.log.Error(err, "HTTP listener failed", "Address", address)
+		}
+	}()
+	return s, nil
+}
+
+// leave refuses new work and tells all peers.
+func (n *Node) leave() {
+	if n.handler.Draining() {
+		return
+	}
+	n.handler.Leave()
+	for _, l := range n.links.Links() {
+		_ = l.SendControl(&encoder.Control{Message: &encoder.Control_Leaving{Leaving: &encoder.Leaving{}}})
+	}
+}
+
+// stop finishes what is in flight within the drain timeout.
+func (n *Node) stop(entry, outbound *http.Server) {
+	n.leave()
+	n.log.Info("drain begins", "Timeout", n.cfg.DrainTimeout.String())
+	ctx, cancel := context.WithTimeout(context.Background(), n.cfg.DrainTimeout)
+	defer cancel()
+	if err := entry.Shutdown(ctx); err != nil {
+		n.log.Error(err, "entry requests cut off by the drain timeout", "Active", n.server.Active())
+	}
+	if err := n.waitForRuns(ctx); err != nil {
+		n.log.Error(err, "runs cut off by the drain timeout", "Active", n.handler.Active())
+	}
+	_ = outbound.Shutdown(ctx)
+	n.log.Info("drain ended")
+}
+
+// waitForRuns returns when no request is at the gate.
+func (n *Node) waitForRuns(ctx context.Context) error {
+	ticker := time.NewTicker(10 * time.Millisecond)
+	defer ticker.Stop()
+	for n.handler.Active() > 0 {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.C:
+		}
+	}
+	return nil
+}
+
+// Drain implements administrator.Node.
+func (n *Node) Drain() {
+	n.drainOnce.Do(func() {
+		n.leave()
+		close(n.drain)
+	})
+}
--- /dev/null
+++ b/crocusd/internal/server/server.go
@@ -0,0 +1,326 @@
+package server
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/cockroachdb/errors"
+	"github.com/google/uuid"
+	"github.com/gorilla/mux"
+	"golang.org/x/sync/semaphore"
+
+	"crocustack/core/budgeter"
+	"crocustack/core/classifier"
+	"crocustack/core/gatekeeper"
+	"crocustack/core/recorder"
+	"crocustack/core/releaser"
+	"crocustack/core/resolver"
+	"crocustack/crocusd/internal/forwarder"
+	"crocustack/crocusd/internal/handler"
+	"crocustack/crocusd/internal/tracer"
+)
+
+// Config holds the limits on what callers send.
+type Config struct {
+	MaxBodyBytes int64 // One request body.
+	BufferBytes  int64 // All request bodies together.
+}
+
+// Forwarder sends requests on.
+type Forwarder interface {
+	Forward(ctx context.Context, r forwarder.Request, sink forwarder.Sink) forwarder.Result
+	Tickets(ctx context.Context, service, kind string, n int) ([]gatekeeper.Ticket, time.Duration, error)
+}
+
+// Server takes requests over HTTP. It is safe for concurrent use.
+type Server struct {
+	cfg     Config
+	view    func() releaser.View
+	ready   func() bool
+	forward Forwarder
+	runs    *tracer.Registry
+	rec     *recorder.Recorder
+	buffer  *semaphore.Weighted
+	active  atomic.Int64
+}
+
+// New returns a server that reads the release in force through view.
+func New(cfg Config, view func() releaser.View, ready func() bool, f Forwarder, runs *tracer.Registry, rec *recorder.Recorder) *Server {
+	return &Server{cfg: cfg, view: view, ready: ready, forward: f, runs: runs, rec: rec, buffer: semaphore.NewWeighted(cfg.BufferBytes)}
+}
+
+// Active is the number of requests in flight at both listeners.
+func (v *Server) Active() int64 { return v.active.Load() }
+
+// Entry returns the handler for callers.
+func (v *Server) Entry() http.Handler {
+	r := mux.NewRouter().SkipClean(true).UseEncodedPath()
+	r.HandleFunc("/crocus/tickets", v.serveTickets).Methods(http.MethodPost)
+	r.HandleFunc("/{service}/{path:.*}", v.serve(v.fromCaller))
+	return r
+}
+
+// Outbound returns the handler for the node's own backend server.
+func (v *Server) Outbound() http.Handler {
+	r := mux.NewRouter().SkipClean(true).UseEncodedPath()
+	r.HandleFunc("/{service}/{path:.*}", v.serve(v.fromBackend))
+	return r
+}
+
+// origin completes a request with what its origin decides: class, allowance,
+// depth and deadline. A refusal is a reason other than ReasonNone.
+type origin func(r *http.Request, q *forwarder.Request) resolver.Reason
+
+func (v *Server) serve(complete origin) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		v.active.Add(1)
+		defer v.active.Add(-1)
+		start := time.Now()
+		q, reason, detail := v.parse(r)
+		w.Header().Set(headerRequest, q.ID)
+		if reason != resolver.ReasonNone {
+			v.answerNotRun(w, q, reason, detail, start)
+			return
+		}
+		weight := min(max(r.ContentLength, 0), v.cfg.MaxBodyBytes)
+		if r.ContentLength < 0 {
+			weight = v.cfg.MaxBodyBytes
+		}
+		if weight > 0 && !v.buffer.TryAcquire(weight) {
+			v.answerNotRun(w, q, resolver.ReasonBufferFull, "no buffer left for the body", start)
+			return
+		}
+		defer v.buffer.Release(weight)
+		if q.Body, reason = v.readBody(w, r); reason != resolver.ReasonNone {
+			v.answerNotRun(w, q, reason, "", start)
+			return
+		}
+		if reason = complete(r, &q); reason != resolver.ReasonNone {
+			v.refuse(w, r, q, reason, start)
+			return
+		}
+		sink := &responseSink{w: w}
+		result := v.forward.Forward(r.Context(), q, sink)
+		v.answer(w, q, sink, result, start)
+	}
+}
+
+// parse reads what the headers and the path say.
+func (v *Server) parse(r *http.Request) (q forwarder.Request, reason resolver.Reason, detail string) {
+	q = forwarder.Request{ID: requestID(), Service: mux.Vars(r)["service"], Method: r.Method, Path: "/" + mux.Vars(r)["path"]}
+	if !v.ready() {
+		return q, resolver.ReasonNotReady, "no release is in force yet"
+	}
+	view := v.view()
+	service, known := view.Services[q.Service]
+	if !known {
+		return q, resolver.ReasonUnknownService, "no service " + strconv.Quote(q.Service)
+	}
+	kind, ok := view.Table.Classify(service.Name, q.Method, q.Path)
+	if !ok {
+		return q, resolver.ReasonUnknownKind, "no kind of " + service.Name + " matches " + q.Method + " " + q.Path
+	}
+	q.Kind, q.Class = kind, kind.Class
+	if r.URL.RawQuery != "" {
+		q.Path += "?" + r.URL.RawQuery
+	}
+	q.Headers = handler.PassedHeaders(r.Header)
+	q.Key = r.Header.Get(headerKey)
+	if text := r.Header.Get(headerTicket); text != "" {
+		t, err := gatekeeper.ParseTicket(text)
+		if err != nil {
+			return q, resolver.ReasonBadRequest, headerTicket + ": " + err.Error()
+		}
+		if t.Home.Service != q.Service || t.Kind != kind.Name {
+			return q, resolver.ReasonBadRequest, headerTicket + ": the ticket is for " + t.Home.Service + " " + t.Kind
+		}
+		q.Ticket = &t
+	}
+	timeout, err := headerNumber(r, headerTimeout, uint64(kind.Timeout.Milliseconds()))
+	if err != nil {
+		return q, resolver.ReasonBadRequest, err.Error()
+	}
+	q.Deadline = time.Now().Add(min(time.Duration(min(timeout, maxTimeoutMillis))*time.Millisecond, kind.Timeout))
+	attempt, err := headerNumber(r, headerAttempt, 1)
+	if err != nil {
+		return q, resolver.ReasonBadRequest, err.Error()
+	}
+	q.Repeat = attempt > 1
+	q.First = attempt == 1 && r.Header.Get(headerAttempt) != ""
+	return q, resolver.ReasonNone, ""
+}
+
+// maxTimeoutMillis keeps a timeout from a header within time.Duration.
+const maxTimeoutMillis = 24 * 3600 * 1000
+
+func headerNumber(r *http.Request, name string, otherwise uint64) (uint64, error) {
+	text := r.Header.Get(name)
+	if text == "" {
+		return otherwise, nil
+	}
+	n, err := strconv.ParseUint(text, 10, 64)
+	if err != nil || n == 0 {
+		return 0, errors.Newf("%s: %q is not a whole number above 0", name, text)
+	}
+	return n, nil
+}
+
+// requestID returns a time-ordered id (UUID version 7, RFC 9562).
+func requestID() string {
+	id, err := uuid.NewV7()
+	if err != nil {
+		return uuid.NewString()
+	}
+	return id.String()
+}
+
+func (v *Server) readBody(w http.ResponseWriter, r *http.Request) ([]byte, resolver.Reason) {
+	if r.ContentLength > v.cfg.MaxBodyBytes {
+		return nil, resolver.ReasonBodyTooLarge
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, v.cfg.MaxBodyBytes))
+	if err == nil {
+		return body, resolver.ReasonNone
+	}
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return nil, resolver.ReasonBodyTooLarge
+	}
+	return nil, resolver.ReasonCancelled
+}
+
+// fromCaller starts a new call tree.
+func (v *Server) fromCaller(_ *http.Request, q *forwarder.Request) resolver.Reason {
+	q.TreeID = xxhash.Sum64String(q.ID)
+	if q.Kind.Ticket == classifier.TicketRuleRequired && q.Ticket == nil {
+		return resolver.ReasonTicketRequired
+	}
+	allowance := q.Kind.Allowance
+	if q.Repeat {
+		// The caller retries already; its repeats must not be multiplied.
+		allowance = 0
+	}
+	q.Pool = budgeter.NewPool(allowance)
+	return resolver.ReasonNone
+}
+
+// fromBackend continues the call tree of an inbound request.
+func (v *Server) fromBackend(r *http.Request, q *forwarder.Request) resolver.Reason {
+	switch t := v.runs.Find(r.Header.Get(headerParent), r.Header.Get(headerTrace)).(type) {
+	case tracer.Tied:
+		q.ID, q.Parent = t.Run.RequestID, t.Run.Kind
+		q.Class, q.TreeID, q.Depth, q.Pool = t.Run.Class, t.Run.TreeID, t.Run.Depth+1, t.Run.Pool
+		q.Deadline = earlier(q.Deadline, t.Run.Deadline)
+		return resolver.ReasonNone
+	case tracer.Ambiguous:
+		q.Class, q.TreeID, q.Depth = t.Class, t.TreeID, t.Depth+1
+		q.Deadline = earlier(q.Deadline, t.Deadline)
+	case tracer.Untied:
+		q.TreeID = xxhash.Sum64String(q.ID)
+	}
+	return resolver.ReasonNone
+}
+
+func earlier(a, b time.Time) time.Time {
+	if b.Before(a) {
+		return b
+	}
+	return a
+}
+
+// refuse answers a request that its origin refused. A missing ticket is
+// answered with one.
+func (v *Server) refuse(w http.ResponseWriter, r *http.Request, q forwarder.Request, reason resolver.Reason, start time.Time) {
+	if reason == resolver.ReasonTicketRequired {
+		tickets, _, err := v.forward.Tickets(r.Context(), q.Service, q.Kind.Name, 1)
+		if err != nil || len(tickets) == 0 {
+			v.answerNotRun(w, q, resolver.ReasonNoUpstream, "no upstream could mint a ticket", start)
+			return
+		}
+		setTicket(w, tickets[0])
+	}
+	v.answerNotRun(w, q, reason, "send the request again with the ticket of this answer", start)
+}
+
+func (v *Server) answer(w http.ResponseWriter, q forwarder.Request, sink *responseSink, result forwarder.Result, start time.Time) {
+	switch o := result.Outcome.(type) {
+	case resolver.Ran:
+		v.record(q, result.Upstream, o, "", start)
+	case resolver.NotRun:
+		if result.Ticket != nil {
+			setTicket(w, *result.Ticket)
+		}
+		v.record(q, result.Upstream, o, "", start)
+		writeNotRun(w, o.Reason, "")
+	case resolver.Unknown:
+		v.record(q, result.Upstream, o, "", start)
+		if sink.begun {
+			sink.Abort()
+		}
+		writeUnknown(w, o.Reason)
+	}
+}
+
+func (v *Server) answerNotRun(w http.ResponseWriter, q forwarder.Request, reason resolver.Reason, detail string, start time.Time) {
+	v.record(q, "", resolver.NotRun{Reason: reason}, detail, start)
+	writeNotRun(w, reason, detail)
+}
+
+func (v *Server) record(q forwarder.Request, upstream string, o resolver.Outcome, detail string, start time.Time) {
+	v.rec.Record(recorder.Decision{
+		Time: time.Now(), Kind: recorder.KindAnswer, RequestID: q.ID, Service: q.Service, KindName: q.Kind.Name,
+		Class: q.Class, Upstream: upstream, Outcome: o, Detail: detail, Took: time.Since(start),
+	})
+}
+
+// ticketReply is the answer of POST /crocus/tickets.
+type ticketReply struct {
+	Tickets         []string
+	LifetimeSeconds int
+}
+
+// maxTickets bounds the tickets of one answer.
+const maxTickets = 256
+
+func (v *Server) serveTickets(w http.ResponseWriter, r *http.Request) {
+	service, kind := r.URL.Query().Get("service"), r.URL.Query().Get("kind")
+	count := 1
+	if text := r.URL.Query().Get("count"); text != "" {
+		n, err := strconv.Atoi(text)
+		if err != nil || n < 1 || n > maxTickets {
+			writeNotRun(w, resolver.ReasonBadRequest, "count must be a whole number from 1 to "+strconv.Itoa(maxTickets))
+			return
+		}
+		count = n
+	}
+	if !v.ready() {
+		writeNotRun(w, resolver.ReasonNotReady, "no release is in force yet")
+		return
+	}
+	if k, ok := v.view().Table.Kind(kind); !ok || k.Service != service || k.Ticket == classifier.TicketRuleNone {
+		writeNotRun(w, resolver.ReasonUnknownKind, "no kind "+strconv.Quote(kind)+" with tickets in service "+strconv.Quote(service))
+		return
+	}
+	tickets, lifetime, err := v.forward.Tickets(r.Context(), service, kind, count)
+	if err != nil {
+		writeNotRun(w, resolver.ReasonNoUpstream, err.Error())
+		return
+	}
+	reply := ticketReply{LifetimeSeconds: int(lifetime.Seconds())}
+	for _, t := range tickets {
+		text, err := t.Text()
+		if err != nil {
+			writeNotRun(w, resolver.ReasonNoUpstream, err.Error())
+			return
+		}
+		reply.Tickets = append(reply.Tickets, text)
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(reply)
+}
--- a/crocusd/main.go
+++ b/crocusd/main.go
@@ -1,4 +1,10 @@
-// Command crocusd is under construction.
+// Command crocusd is the node beside a backend server.
 package main
 
-func main() {}
+import (
+	"os"
+
+	"crocustack/crocusd/internal/commander"
+)
+
+func main() { os.Exit(commander.Run(os.Args[1:], os.Stdout, os.Stderr)) }
