gatekeeper: at-most-once gate, tickets, keys and sender sequences

Ruled out: - Dropping records by age: a paused gate reads old runs late. - Refuse for a run that names another incarnation: the named one may have run it, so the answer is Doubt. - Dropping idle sender entries or old keys at their bound: both would let an old run start again. At the bound new ones are refused. - Key age by real time: a pause would drop keys whose repeats are still unread. Before: no code. Conclusion: the gate can be used by the handler. NotRun and Voided speak about one attempt; a caller keeps its protection by repeating with the same ticket.

--- /dev/null
+++ b/core/gatekeeper/gate.go
@@ -0,0 +1,391 @@
+package gatekeeper
+
+import (
+	"container/list"
+	"math"
+	"sort"
+	"time"
+
+	"crocustack/core/resolver"
+)
+
+// bucketsPerLifetime is the number of mint intervals that share one expiry. A
+// ticket can live longer than TicketLifetime by one interval, 1.6%.
+const bucketsPerLifetime = 64
+
+// ticketRetention is the number of lifetimes after which a bucket is dropped.
+// The second one tells tickets that expired unused from used ones.
+const ticketRetention = 2
+
+// Gate is the at-most-once aggregate of one incarnation. It is not safe for
+// concurrent use.
+type Gate struct {
+	cfg  Config
+	self Incarnation
+	// leaving never returns to false, so that a refusal because of it is final.
+	leaving bool
+
+	// now is the latest time seen; it never goes back.
+	now time.Duration
+	// observed grows with now, by at most MaxStep a call, and so leaves out
+	// pauses. Keys age by it.
+	observed time.Duration
+
+	// records holds every attempt ID that is not absent and not dropped:
+	// len <= MaxRecords. An ID is dropped only below its sender's watermark.
+	records map[AttemptID]*record
+	// idle holds the records that are not running, longest idle first.
+	idle *list.List
+	// senders never loses an entry: len <= MaxSenders.
+	senders map[uint64]*sender
+
+	// answers holds the executions with an answer, oldest first.
+	answers *list.List
+	// answerBytes is the sum of their sizes: <= MaxAnswerBytes.
+	answerBytes int
+
+	// buckets covers the serials in [buckets[0].first, nextSerial) in order;
+	// lower serials never start.
+	buckets []bucket
+	// nextSerial is at least 1 and only grows.
+	nextSerial uint64
+	// tickets holds the used serials that are minted and not yet dropped.
+	tickets map[uint64]*execution
+	// forgotten stands in tickets for used serials whose answer was dropped.
+	forgotten *execution
+
+	// keys holds the keys that are running or were used: len <= MaxKeys.
+	keys map[keyID]*execution
+	// aging holds the used keys by the observed time at which they ended.
+	aging *list.List
+}
+
+// bucket is a range of serials that expire together.
+type bucket struct {
+	first uint64
+	// opened and last are the first and last mint time of the bucket.
+	opened, last time.Duration
+}
+
+type keyID struct{ kind, key string }
+
+type agingKey struct {
+	id    keyID
+	ended time.Duration
+}
+
+// New returns the gate of an incarnation that has run nothing yet.
+func New(cfg Config, self Incarnation) *Gate {
+	return &Gate{
+		cfg:        cfg.withDefaults(),
+		self:       self,
+		records:    make(map[AttemptID]*record),
+		idle:       list.New(),
+		senders:    make(map[uint64]*sender),
+		answers:    list.New(),
+		nextSerial: 1,
+		tickets:    make(map[uint64]*execution),
+		forgotten:  &execution{state: executionDone},
+		keys:       make(map[keyID]*execution),
+		aging:      list.New(),
+	}
+}
+
+// Begin decides about one received run. Only an absent ID is started.
+func (g *Gate) Begin(now time.Duration, b Begin) Decision {
+	g.advance(now)
+	switch {
+	case b.Target != g.self:
+		// The target may have run it, so "not run" can't be claimed here.
+		return Doubt{resolver.ReasonWrongIncarnation}
+	case !validSequence(b.ID.Sequence):
+		return Refuse{resolver.ReasonBadRequest}
+	}
+	s := g.sender(b.ID.SenderBoot)
+	if s == nil {
+		// The attempt never starts, but its ticket or key may have run.
+		if first, d := g.permit(b); first != nil && d != nil {
+			return d
+		} else if doubt, ok := d.(Doubt); ok {
+			return doubt
+		}
+		return Refuse{resolver.ReasonBufferFull}
+	}
+	g.settle(s, b.SettledBelow)
+	if r, ok := g.records[b.ID]; ok {
+		return r.decision()
+	}
+	if b.ID.Sequence < s.watermark {
+		return Doubt{resolver.ReasonSettled}
+	}
+
+	e, d := g.permit(b)
+	if d == nil && !g.makeRoom() {
+		d = Refuse{resolver.ReasonBufferFull}
+	}
+	switch d := d.(type) {
+	case nil:
+		g.start(s, e)
+		return Start{}
+	case Doubt:
+		if e == nil {
+			g.note(s, record{id: b.ID, doubt: d.Reason})
+			return d
+		}
+	case Refuse:
+		e = nil
+	case Join, Replay:
+	case Start:
+		panic("permit returns no Start")
+	}
+	g.note(s, record{id: b.ID, execution: e})
+	return d
+}
+
+// permit decides by ticket, key and leaving alone. A nil decision permits the
+// returned execution. With any other decision, an execution is the earlier one
+// with the same ticket or key.
+func (g *Gate) permit(b Begin) (*execution, Decision) {
+	e := &execution{leader: b.ID, kind: b.Kind}
+	if b.Ticket != nil {
+		if first, d := g.checkTicket(b); d != nil {
+			return first, d
+		}
+		e.ticket = b.Ticket.Serial
+	} else if b.Key != "" {
+		if len(b.Key) > g.cfg.MaxKeyLength {
+			return nil, Refuse{resolver.ReasonBadRequest}
+		}
+		e.key = keyID{b.Kind, b.Key}
+		if first, ok := g.keys[e.key]; ok {
+			return first, first.decision()
+		}
+		if !g.leaving && len(g.keys) >= g.cfg.MaxKeys {
+			return nil, Refuse{resolver.ReasonBufferFull}
+		}
+	}
+	if g.leaving {
+		return nil, Refuse{resolver.ReasonDraining}
+	}
+	return e, nil
+}
+
+// checkTicket returns nil for a ticket that is valid and unused.
+func (g *Gate) checkTicket(b Begin) (*execution, Decision) {
+	t := *b.Ticket
+	switch {
+	case t.Home != g.self:
+		return nil, Doubt{resolver.ReasonTicketForeign}
+	case t.Kind != b.Kind, t.Serial == 0, t.Serial >= g.nextSerial:
+		return nil, Refuse{resolver.ReasonBadRequest}
+	case len(g.buckets) == 0, t.Serial < g.buckets[0].first:
+		return nil, Doubt{resolver.ReasonTicketExpired}
+	}
+	if e, ok := g.tickets[t.Serial]; ok {
+		if e != g.forgotten && e.kind != t.Kind {
+			return nil, Refuse{resolver.ReasonBadRequest}
+		}
+		return e, e.decision()
+	}
+	i := sort.Search(len(g.buckets), func(i int) bool { return g.buckets[i].first > t.Serial }) - 1
+	if g.now-g.buckets[i].last >= g.cfg.TicketLifetime {
+		return nil, Refuse{resolver.ReasonTicketExpired}
+	}
+	return nil, nil
+}
+
+func (g *Gate) start(s *sender, e *execution) {
+	g.add(s, record{id: e.leader, execution: e})
+	if e.ticket != 0 {
+		g.tickets[e.ticket] = e
+		e.refs++
+	}
+	if e.key != (keyID{}) {
+		g.keys[e.key] = e
+		e.refs++
+	}
+}
+
+// Finish ends a run that was started. An answer with outcome NotRun withdraws
+// the attempt. Calls for any other attempt change nothing.
+func (g *Gate) Finish(now time.Duration, id AttemptID, a Answer) {
+	if _, ok := a.Outcome.(resolver.NotRun); ok {
+		g.Withdraw(now, id)
+		return
+	}
+	g.advance(now)
+	r, ok := g.records[id]
+	if !ok || !r.running() {
+		return
+	}
+	e := r.execution
+	e.state = executionDone
+	g.keep(e, a)
+	if e.key != (keyID{}) {
+		g.aging.PushBack(agingKey{e.key, g.observed})
+	}
+	g.stopped(r)
+}
+
+// Withdraw ends a run that was started and then refused before the backend
+// server saw it. The attempt and those that joined it become void; the ticket
+// or key becomes unused again.
+func (g *Gate) Withdraw(now time.Duration, id AttemptID) {
+	g.advance(now)
+	r, ok := g.records[id]
+	if !ok || !r.running() {
+		return
+	}
+	e := r.execution
+	e.state = executionWithdrawn
+	if e.ticket != 0 && g.tickets[e.ticket] == e {
+		delete(g.tickets, e.ticket)
+		g.release(e)
+	}
+	if e.key != (keyID{}) {
+		delete(g.keys, e.key)
+		g.release(e)
+	}
+	g.stopped(r)
+}
+
+// Void makes an absent attempt void and otherwise tells what became of it.
+func (g *Gate) Void(now time.Duration, id AttemptID, target Incarnation) VoidDecision {
+	g.advance(now)
+	if target != g.self {
+		return Foreign{}
+	}
+	s := g.sender(id.SenderBoot)
+	if !validSequence(id.Sequence) {
+		return Voided{} // Begin refuses it for good.
+	}
+	if s == nil {
+		return Settled{} // Never starts, but may have been answered with a replay.
+	}
+	if r, ok := g.records[id]; ok {
+		return r.voidDecision()
+	}
+	if id.Sequence < s.watermark {
+		return Settled{}
+	}
+	g.note(s, record{id: id})
+	return Voided{}
+}
+
+// Mint returns n unused tickets, or fewer at the bound and none when leaving.
+func (g *Gate) Mint(now time.Duration, kind string, n int) []Ticket {
+	g.advance(now)
+	if g.leaving || kind == "" {
+		return nil
+	}
+	n = min(n, g.cfg.MaxTickets-g.minted())
+	if n <= 0 {
+		return nil
+	}
+	width := g.cfg.TicketLifetime / bucketsPerLifetime
+	if last := len(g.buckets) - 1; last < 0 || g.now-g.buckets[last].opened > width {
+		g.buckets = append(g.buckets, bucket{first: g.nextSerial, opened: g.now})
+	}
+	g.buckets[len(g.buckets)-1].last = g.now
+	tickets := make([]Ticket, n)
+	for i := range tickets {
+		tickets[i] = Ticket{Home: g.self, Kind: kind, Serial: g.nextSerial}
+		g.nextSerial++
+	}
+	return tickets
+}
+
+// minted returns the number of serials that are not yet dropped.
+func (g *Gate) minted() int {
+	if len(g.buckets) == 0 {
+		return 0
+	}
+	return int(g.nextSerial - g.buckets[0].first)
+}
+
+// Leave makes Begin refuse new work for good. Repeats are answered as before.
+func (g *Gate) Leave() { g.leaving = true }
+
+// Size is the memory in use, for metrics.
+type Size struct{ Records, Senders, AnswerBytes, Tickets, Keys int }
+
+// Size returns the memory in use. Tickets counts minted serials that are not
+// yet dropped.
+func (g *Gate) Size() Size {
+	return Size{len(g.records), len(g.senders), g.answerBytes, g.minted(), len(g.keys)}
+}
+
+// advance moves the clocks and drops tickets and keys that have aged out.
+func (g *Gate) advance(now time.Duration) {
+	if now <= g.now {
+		return
+	}
+	g.observed += min(now-g.now, g.cfg.MaxStep)
+	g.now = now
+	for len(g.buckets) > 0 && g.now-g.buckets[0].last >= ticketRetention*g.cfg.TicketLifetime {
+		end := g.nextSerial
+		if len(g.buckets) > 1 {
+			end = g.buckets[1].first
+		}
+		for serial := g.buckets[0].first; serial < end; serial++ {
+			if e, ok := g.tickets[serial]; ok {
+				delete(g.tickets, serial)
+				g.release(e)
+			}
+		}
+		g.buckets = g.buckets[1:]
+	}
+	for front := g.aging.Front(); front != nil; front = g.aging.Front() {
+		k := front.Value.(agingKey)
+		if g.observed-k.ended < g.cfg.KeyLifetime {
+			return
+		}
+		g.aging.Remove(front)
+		e := g.keys[k.id]
+		delete(g.keys, k.id)
+		g.release(e)
+	}
+}
+
+// validSequence leaves out MaxUint64 so that a watermark above it exists.
+func validSequence(seq uint64) bool { return seq > 0 && seq < math.MaxUint64 }
+
+func (r *record) decision() Decision {
+	switch {
+	case r.execution != nil:
+		return r.execution.decision()
+	case r.doubt != resolver.ReasonNone:
+		return Doubt{r.doubt}
+	default:
+		return Refuse{resolver.ReasonVoided}
+	}
+}
+
+func (r *record) voidDecision() VoidDecision {
+	switch d := r.decision().(type) {
+	case Refuse:
+		return Voided{}
+	case Join:
+		return Running{}
+	case Replay:
+		return Done(d)
+	case Doubt:
+		return Settled{}
+	case Start:
+		panic("a recorded attempt never starts")
+	}
+	return Settled{}
+}
+
+func (e *execution) decision() Decision {
+	switch {
+	case e.state == executionRunning:
+		return Join{e.leader}
+	case e.state == executionWithdrawn:
+		return Refuse{resolver.ReasonVoided}
+	case e.answer == nil:
+		return Doubt{resolver.ReasonSettled}
+	default:
+		return Replay{*e.answer}
+	}
+}
