--- a/core/gatekeeper/gate.go
+++ b/core/gatekeeper/gate.go
@@ -49,7 +49,7 @@
 	buckets []bucket
 	// nextSerial is at least 1 and only grows.
 	nextSerial uint64
-	// tickets holds the used serials at or above buckets[0].first.
+	// tickets holds the used serials that are minted and not yet dropped.
 	tickets map[uint64]*execution
 	// forgotten stands in tickets for used serials whose answer was dropped.
 	forgotten *execution
@@ -103,6 +103,12 @@
 	}
 	s := g.sender(b.ID.SenderBoot)
 	if s == nil {
+		// The attempt never starts, but its ticket or key may have run.
+		if first, d := g.permit(b); first != nil && d != nil {
+			return d
+		} else if doubt, ok := d.(Doubt); ok {
+			return doubt
+		}
 		return Refuse{resolver.ReasonBufferFull}
 	}
 	g.settle(s, b.SettledBelow)
@@ -250,8 +256,11 @@
 		return Foreign{}
 	}
 	s := g.sender(id.SenderBoot)
-	if s == nil || !validSequence(id.Sequence) {
-		return Voided{} // Begin refuses both for good.
+	if !validSequence(id.Sequence) {
+		return Voided{} // Begin refuses it for good.
+	}
+	if s == nil {
+		return Settled{} // Never starts, but may have been answered with a replay.
 	}
 	if r, ok := g.records[id]; ok {
 		return r.voidDecision()
@@ -269,12 +278,7 @@
 	if g.leaving || kind == "" {
 		return nil
 	}
-	if len(g.buckets) > 0 {
-		n = min(n, g.cfg.MaxTickets-int(g.nextSerial-g.buckets[0].first))
-	} else {
-		n = min(n, g.cfg.MaxTickets)
-	}
-	n = 2
+	n = min(n, g.cfg.MaxTickets-g.minted())
 	if n <= 0 {
 		return nil
 	}
@@ -291,15 +295,24 @@
 	return tickets
 }
 
+// minted returns the number of serials that are not yet dropped.
+func (g *Gate) minted() int {
+	if len(g.buckets) == 0 {
+		return 0
+	}
+	return int(g.nextSerial - g.buckets[0].first)
+}
+
 // Leave makes Begin refuse new work for good. Repeats are answered as before.
 func (g *Gate) Leave() { g.leaving = true }
 
 // Size is the memory in use, for metrics.
 type Size struct{ Records, Senders, AnswerBytes, Tickets, Keys int }
 
-// Size returns the memory in use. Tickets counts used serials.
+// Size returns the memory in use. Tickets counts minted serials that are not
+// yet dropped.
 func (g *Gate) Size() Size {
-	return Size{len(g.records), len(g.senders), g.answerBytes, len(g.tickets), len(g.keys)}
+	return Size{len(g.records), len(g.senders), g.answerBytes, g.minted(), len(g.keys)}
 }
 
 // advance moves the clocks and drops tickets and keys that have aged out.
