watcher: instance table, readers, read planning and platform client

Ruled out: one stamp for all records of a list (each change of one instance would be news about all of them); a floor below which unknown records are dropped on nodes that saw no full list (a lost update could never arrive).

Before: no package.

--- /dev/null
+++ b/core/watcher/planner.go
@@ -0,0 +1,287 @@
+package watcher
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// ReleaseKey is the platform key of the release document.
+const ReleaseKey = "release/current"
+
+// InstancesPrefix and the name of a domain form the key of its instance list.
+const InstancesPrefix = "instances/"
+
+// Readers returns the addresses of the n live instances of a domain that rank
+// highest by rendezvous hash. When one member changes, at most one reader
+// changes.
+func Readers(domain []Instance, n int) []string {
+	type ranked struct {
+		score   uint64
+		address string
+	}
+	var rs []ranked
+	for _, i := range domain {
+		if i.State == StateLive {
+			rs = append(rs, ranked{xxhash.Sum64String(i.Domain + "\x00" + i.Address), i.Address})
+		}
+	}
+	slices.SortFunc(rs, func(a, b ranked) int {
+		return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(a.address, b.address))
+	})
+	out := make([]string, 0, n)
+	for _, r := range slices.CompactFunc(rs, func(a, b ranked) bool { return a.address == b.address })[:min(n, len(rs))] {
+		out = append(out, r.address)
+	}
+	return out
+}
+
+// PlannerConfig holds the limits of a Planner. Zero fields take the defaults of
+// DefaultPlannerConfig.
+type PlannerConfig struct {
+	Self, Domain string
+	// Readers is the number of readers of a domain.
+	Readers int
+	// Quiet is the time without a message from any reader after which a node
+	// reads alone.
+	Quiet time.Duration
+	// MinInterval is the shortest interval between two reads of one key alone.
+	MinInterval time.Duration
+	// AloneRate bounds the reads a second of all nodes that read alone.
+	AloneRate float64
+	// StartRate bounds the first reads a second when all nodes start at once.
+	StartRate float64
+	// FleetSize is the assumed number of instances while the list of the own
+	// domain is unknown.
+	FleetSize int
+	// Wait is the duration of a watch.
+	Wait time.Duration
+	// MinBackoff and MaxBackoff bound the pause after failed reads.
+	MinBackoff, MaxBackoff time.Duration
+}
+
+// DefaultPlannerConfig is sized for 3,000 instances and a platform that serves
+// 2,000 reads a second.
+var DefaultPlannerConfig = PlannerConfig{
+	Readers: 2, Quiet: 10 * time.Second, MinInterval: 5 * time.Second, AloneRate: 1000, StartRate: 1500, FleetSize: 3000,
+	Wait: 30 * time.Second, MinBackoff: time.Second, MaxBackoff: 30 * time.Second,
+}
+
+// Mode says how a node treats one key.
+type Mode int
+
+// The modes.
+const (
+	ModeWait  Mode = iota // The readers of the domain pass the key on.
+	ModeWatch             // This node is a reader and keeps a watch.
+	ModeAlone             // No reader was heard; read at intervals.
+	ModeStart             // The first read after the start.
+)
+
+// Read is one read to start now.
+type Read struct {
+	Key string
+	// After is the last version read; the platform answers with a later one.
+	After uint64
+	// Wait is the duration of the watch; 0 asks for an immediate answer.
+	Wait time.Duration
+}
+
+// Result is the result of a read.
+type Result int
+
+// The results.
+const (
+	ResultValue     Result = iota // A value with a new version.
+	ResultUnchanged               // No later version.
+	ResultMissing                 // The platform has no such key.
+	ResultFailed                  // No answer, or over the rate.
+)
+
+type keyState struct {
+	inFlight bool
+	// done is true once a read was answered.
+	done            bool
+	version         uint64
+	startedAt, next time.Duration
+	mode            Mode
+	failures        int
+}
+
+// Planner decides which platform keys this node reads and when. It is not safe
+// for concurrent use.
+type Planner struct {
+	cfg     PlannerConfig
+	keys    map[string]*keyState
+	members int
+	domains []string
+	readers []string
+	heard   time.Duration
+	// released is true once the catalogue holds a release.
+	released bool
+}
+
+// NewPlanner returns a planner of a node that starts now. draw is a uniform
+// number in [0, 1).
+func NewPlanner(cfg PlannerConfig, now time.Duration, draw float64) *Planner {
+	d := DefaultPlannerConfig
+	cfg.Readers = cmp.Or(cfg.Readers, d.Readers)
+	cfg.Quiet = cmp.Or(cfg.Quiet, d.Quiet)
+	cfg.MinInterval = cmp.Or(cfg.MinInterval, d.MinInterval)
+	cfg.AloneRate = cmp.Or(cfg.AloneRate, d.AloneRate)
+	cfg.StartRate = cmp.Or(cfg.StartRate, d.StartRate)
+	cfg.FleetSize = cmp.Or(cfg.FleetSize, d.FleetSize)
+	cfg.Wait = cmp.Or(cfg.Wait, d.Wait)
+	cfg.MinBackoff = cmp.Or(cfg.MinBackoff, d.MinBackoff)
+	cfg.MaxBackoff = cmp.Or(cfg.MaxBackoff, d.MaxBackoff)
+	p := &Planner{cfg: cfg, keys: make(map[string]*keyState), heard: now}
+	spread := time.Duration(float64(cfg.FleetSize) / cfg.StartRate * float64(time.Second))
+	p.keys[p.ownKey()] = &keyState{mode: ModeStart, next: now + scale(spread, draw)}
+	// The release normally arrives from peers that the own list names, so its
+	// own first read begins when these have had time to answer.
+	p.keys[ReleaseKey] = &keyState{mode: ModeStart, next: now + spread + scale(2*spread, draw)}
+	return p
+}
+
+func (p *Planner) ownKey() string { return InstancesPrefix + p.cfg.Domain }
+
+// SetMembers tells the planner the instances of the own domain, the names of
+// all domains, and whether a release is known.
+func (p *Planner) SetMembers(members []Instance, domains []string, released bool) {
+	p.members = len(members)
+	p.domains = domains
+	p.readers = Readers(members, p.cfg.Readers)
+	p.released = released
+}
+
+// Readers returns the addresses of the readers of the own domain.
+func (p *Planner) Readers() []string { return p.readers }
+
+// IsReader tells whether this node is a reader of its domain.
+func (p *Planner) IsReader() bool { return slices.Contains(p.readers, p.cfg.Self) }
+
+// Heard records that a message from a node arrived.
+func (p *Planner) Heard(now time.Duration, address string) {
+	if slices.Contains(p.readers, address) {
+		p.heard = now
+	}
+}
+
+// Listed tells whether the first read of the own domain's list was answered or
+// has failed.
+func (p *Planner) Listed() bool {
+	k := p.keys[p.ownKey()]
+	return k.done || k.failures > 0
+}
+
+// ReleaseTried tells whether a read of the release was answered or has failed.
+func (p *Planner) ReleaseTried() bool {
+	k := p.keys[ReleaseKey]
+	return k.done || k.failures > 0
+}
+
+// Mode returns how the node treats a key at this time.
+func (p *Planner) Mode(now time.Duration, key string) Mode {
+	own := key == ReleaseKey || key == p.ownKey()
+	k := p.keys[key]
+	switch {
+	case p.IsReader():
+		return ModeWatch
+	case !own:
+		return ModeWait
+	case k != nil && !k.done && k.failures == 0 && (key != ReleaseKey || !p.released):
+		return ModeStart
+	case p.members == 0, now-p.heard >= p.cfg.Quiet:
+		return ModeAlone
+	}
+	return ModeWait
+}
+
+// interval is the mean time between two reads of one key alone. All nodes
+// together then make at most AloneRate reads a second of two keys each.
+func (p *Planner) interval() time.Duration {
+	n := p.members * len(p.domains)
+	if n == 0 {
+		n = p.cfg.FleetSize
+	}
+	return max(p.cfg.MinInterval, time.Duration(float64(n)*2/p.cfg.AloneRate*float64(time.Second)))
+}
+
+// Next returns the reads to start now. draw returns uniform numbers in [0, 1).
+func (p *Planner) Next(now time.Duration, draw func() float64) []Read {
+	keys := []string{ReleaseKey, p.ownKey()}
+	if p.IsReader() {
+		for _, d := range p.domains {
+			if d != p.cfg.Domain {
+				keys = append(keys, InstancesPrefix+d)
+			}
+		}
+	}
+	var out []Read
+	for _, name := range keys {
+		k := p.keys[name]
+		if k == nil {
+			k = &keyState{next: now}
+			p.keys[name] = k
+		}
+		if mode := p.Mode(now, name); mode != k.mode {
+			switch {
+			case mode == ModeAlone:
+				// Nodes that lose their readers at the same time must not all
+				// read at the same time.
+				k.next = now + scale(p.interval(), draw())
+			case mode == ModeWatch && k.failures == 0:
+				k.next = now
+			}
+			k.mode = mode
+		}
+		if k.inFlight || k.mode == ModeWait || now < k.next {
+			continue
+		}
+		k.inFlight, k.startedAt = true, now
+		r := Read{Key: name, After: k.version}
+		// The first read asks for an immediate answer: a watch after version 0
+		// on a missing key would block a start without need.
+		if k.mode == ModeWatch && k.version > 0 {
+			r.Wait = p.cfg.Wait
+		}
+		out = append(out, r)
+	}
+	return out
+}
+
+// Done records the result of a read; version counts for ResultValue only.
+func (p *Planner) Done(now time.Duration, key string, result Result, version uint64, draw float64) {
+	k := p.keys[key]
+	if k == nil {
+		return
+	}
+	k.inFlight = false
+	jitter := 0.75 + draw/2
+	switch result {
+	case ResultFailed, ResultMissing:
+		k.done = k.done || result == ResultMissing
+		pause := p.cfg.MaxBackoff
+		if k.failures < 16 {
+			pause = min(pause, p.cfg.MinBackoff<<k.failures)
+		}
+		k.failures++
+		k.next = now + scale(pause, jitter)
+	case ResultValue, ResultUnchanged:
+		k.done, k.failures = true, 0
+		if result == ResultValue {
+			k.version = version
+		}
+		// A platform that answers watches at once must not be read in a loop.
+		k.next = max(now, k.startedAt+scale(p.cfg.MinBackoff, jitter))
+	}
+	if k.mode != ModeWatch {
+		// The pause never falls below the interval, so that retries stay under
+		// the rate too. Jitter only lengthens it for the same reason.
+		k.next = max(k.next, now+scale(p.interval(), 1+draw/2))
+	}
+}
+
+func scale(d time.Duration, f float64) time.Duration { return time.Duration(float64(d) * f) }
--- /dev/null
+++ b/core/watcher/table.go
@@ -0,0 +1,293 @@
+package watcher
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// GoneRetention is how long a record that is absent from the list is kept, so
+// that late updates about it are recognized as old.
+const GoneRetention = 60 * time.Second
+
+type key struct{ service, address string }
+
+func (i Instance) key() key { return key{i.Service, i.Address} }
+
+// sameContent ignores the version: the same record seen in two versions of a
+// list is no news.
+func (i Instance) sameContent(j Instance) bool {
+	i.Version = j.Version
+	return i == j
+}
+
+// hash ignores the version for the same reason, and is 0 for records that are
+// gone, since nodes forget these at different times.
+func (i Instance) hash() uint64 {
+	if i.State == StateGone {
+		return 0
+	}
+	return xxhash.Sum64String(strings.Join([]string{i.Service, i.Address, i.Domain, i.Region, i.State.String()}, "\x00"))
+}
+
+// Cell identifies the records of one service in one domain.
+type Cell struct{ Domain, Service string }
+
+type record struct {
+	Instance
+	goneSince time.Duration
+}
+
+// Scope says which instance records a node holds.
+type Scope struct {
+	// Domain is the own failure domain; its records are always held.
+	Domain string
+	// Interest is the set of services served or called.
+	Interest map[string]bool
+	// All is true for readers, which pass on the lists of all domains.
+	All bool
+}
+
+// Holds tells whether records of the cell belong to the scope.
+func (s Scope) Holds(c Cell) bool {
+	return s.All || c.Domain == s.Domain || s.Interest[c.Service]
+}
+
+// Table is the set of known instances. It is immutable and safe for concurrent
+// use. With is a join by (version, state), so a stale record changes nothing.
+type Table struct {
+	scope   Scope
+	records map[key]record
+	// cells holds the XOR of the hashes of each cell's records.
+	cells map[Cell]uint64
+	// services and domains list the records that are not gone, by address.
+	services, domains map[string][]Instance
+	// versions holds the highest version seen for each domain.
+	versions map[string]uint64
+	// complete holds the version of the last full list applied for a domain: a
+	// record of that version or below that the list lacked is gone.
+	complete map[string]uint64
+	// gone counts the records that wait for removal.
+	gone int
+}
+
+// NewTable returns an empty table.
+func NewTable(s Scope) Table { return Table{scope: s} }
+
+// Scope returns the scope of the table. Its map must not be modified.
+func (t Table) Scope() Scope { return t.scope }
+
+// WithScope changes the scope and drops the records outside it.
+func (t Table) WithScope(s Scope) Table {
+	out := t.clone()
+	out.scope = s
+	maps.DeleteFunc(out.records, func(_ key, r record) bool { return !s.Holds(Cell{r.Domain, r.Service}) })
+	for d := range out.complete {
+		// The list of a domain is no longer complete here once it was cut down.
+		if !s.All && d != s.Domain {
+			delete(out.complete, d)
+		}
+	}
+	out.reindex(nil)
+	return out
+}
+
+// With joins records into the table and returns those that changed it; a
+// record that differs in its version alone is not returned.
+func (t Table) With(now time.Duration, instances ...Instance) (Table, []Instance) {
+	out, cloned := t, false
+	var changed, touched []Instance
+	for _, i := range instances {
+		cell := Cell{i.Domain, i.Service}
+		if !t.scope.Holds(cell) {
+			continue
+		}
+		old, ok := out.records[i.key()]
+		if !ok && i.Version <= out.complete[i.Domain] && i.State != StateGone {
+			i.State, i.Version = StateGone, out.complete[i.Domain]
+		}
+		if ok && cmp.Or(cmp.Compare(i.Version, old.Version), cmp.Compare(i.State, old.State)) <= 0 {
+			continue
+		}
+		if !cloned {
+			out, cloned = t.clone(), true
+		}
+		out.versions[i.Domain] = max(out.versions[i.Domain], i.Version)
+		r := record{Instance: i, goneSince: now}
+		if ok && i.sameContent(old.Instance) {
+			r.goneSince = old.goneSince
+		} else {
+			changed = append(changed, i)
+			if ok {
+				touched = append(touched, old.Instance)
+			}
+		}
+		touched = append(touched, i)
+		out.records[i.key()] = r
+	}
+	if len(touched) > 0 {
+		out.reindex(touched)
+	}
+	return out, changed
+}
+
+// WithList joins the full list of a domain as of a version. Records that the
+// list lacks are gone. A list older than any record of its domain changes
+// nothing.
+func (t Table) WithList(now time.Duration, domain string, version uint64, list []Instance) (Table, []Instance) {
+	if version < t.versions[domain] || version <= t.complete[domain] {
+		return t, nil
+	}
+	present := make(map[key]bool, len(list))
+	var joined []Instance
+	for _, i := range list {
+		if i.Domain == domain {
+			i.Version = version
+			present[i.key()] = true
+			joined = append(joined, i)
+		}
+	}
+	for k, r := range t.records {
+		if r.Domain == domain && r.State != StateGone && !present[k] {
+			i := r.Instance
+			i.State, i.Version = StateGone, version
+			joined = append(joined, i)
+		}
+	}
+	out, changed := t.With(now, joined...)
+	out = out.clone()
+	out.versions[domain] = version
+	if t.scope.All || domain == t.scope.Domain {
+		out.complete[domain] = version
+	}
+	return out, changed
+}
+
+// Expire removes records that have been gone for GoneRetention.
+func (t Table) Expire(now time.Duration) Table {
+	if t.gone == 0 {
+		return t
+	}
+	old := func(_ key, r record) bool { return r.State == StateGone && now-r.goneSince >= GoneRetention }
+	for k, r := range t.records {
+		if old(k, r) {
+			out := t.clone()
+			maps.DeleteFunc(out.records, old)
+			out.reindex([]Instance{})
+			return out
+		}
+	}
+	return t
+}
+
+// Service returns the instances of a service that are not gone, ordered by
+// address. The slice must not be modified.
+func (t Table) Service(name string) []Instance { return t.services[name] }
+
+// Domain returns the instances of a domain that are held and not gone, ordered
+// by address. The slice must not be modified.
+func (t Table) Domain(name string) []Instance { return t.domains[name] }
+
+// Domains returns the names of the domains with held instances, sorted.
+func (t Table) Domains() []string { return slices.Sorted(maps.Keys(t.domains)) }
+
+// Len returns the number of records, including those that are gone.
+func (t Table) Len() int { return len(t.records) }
+
+// Records returns the records of a cell, including those that are gone.
+func (t Table) Records(c Cell) []Instance {
+	var out []Instance
+	for _, r := range t.records {
+		if r.Domain == c.Domain && r.Service == c.Service {
+			out = append(out, r.Instance)
+		}
+	}
+	sortByAddress(out)
+	return out
+}
+
+// Cells returns the digest of each cell that another scope holds too. Equal
+// cells hold equal live and leaving records.
+func (t Table) Cells(other Scope) map[Cell]uint64 {
+	out := make(map[Cell]uint64)
+	for c, d := range t.cells {
+		if other.Holds(c) {
+			out[c] = d
+		}
+	}
+	return out
+}
+
+// Digest returns the digest of all records that another scope holds too.
+func (t Table) Digest(other Scope) uint64 {
+	var d uint64
+	for c, h := range t.cells {
+		if other.Holds(c) {
+			d ^= h
+		}
+	}
+	return d
+}
+
+func (t Table) clone() Table {
+	t.records, t.versions, t.complete = cloneMap(t.records), cloneMap(t.versions), cloneMap(t.complete)
+	return t
+}
+
+func cloneMap[K comparable, V any](m map[K]V) map[K]V {
+	if m == nil {
+		return make(map[K]V)
+	}
+	return maps.Clone(m)
+}
+
+// reindex rebuilds the lists and digests of the services and domains of the
+// changed records, or all of them when changed is nil.
+func (t *Table) reindex(changed []Instance) {
+	services, domains, cells := make(map[string]bool), make(map[string]bool), make(map[Cell]bool)
+	if changed == nil {
+		t.services, t.domains, t.cells = nil, nil, nil
+		for _, r := range t.records {
+			changed = append(changed, r.Instance)
+		}
+	}
+	t.services, t.domains, t.cells = cloneMap(t.services), cloneMap(t.domains), cloneMap(t.cells)
+	for _, i := range changed {
+		services[i.Service], domains[i.Domain], cells[Cell{i.Domain, i.Service}] = true, true, true
+		delete(t.services, i.Service)
+		delete(t.domains, i.Domain)
+		delete(t.cells, Cell{i.Domain, i.Service})
+	}
+	t.gone = 0
+	for _, r := range t.records {
+		if r.State == StateGone {
+			t.gone++
+			continue
+		}
+		if services[r.Service] {
+			t.services[r.Service] = append(t.services[r.Service], r.Instance)
+		}
+		if domains[r.Domain] {
+			t.domains[r.Domain] = append(t.domains[r.Domain], r.Instance)
+		}
+		if c := (Cell{r.Domain, r.Service}); cells[c] {
+			t.cells[c] ^= r.hash()
+		}
+	}
+	for s := range services {
+		sortByAddress(t.services[s])
+	}
+	for d := range domains {
+		sortByAddress(t.domains[d])
+	}
+}
+
+func sortByAddress(is []Instance) {
+	slices.SortFunc(is, func(a, b Instance) int {
+		return cmp.Or(cmp.Compare(a.Address, b.Address), cmp.Compare(a.Service, b.Service))
+	})
+}
