spreader: control peers, seen stamps and partners for digests

Ruled out: comparing digests with any random member (a link to nearly every member of the domain within the 5 min idle time of links).

Before: no package.

Conclusion: the graph of control peers is connected by construction; random peers shorten it.

--- /dev/null
+++ b/core/spreader/spreader.go
@@ -0,0 +1,244 @@
+package spreader
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"crocustack/core/watcher"
+)
+
+// Config holds the limits of a Spreader. Zero fields take the defaults of
+// DefaultConfig.
+type Config struct {
+	Self string
+	// Successors and Random are the numbers of control peers in the own
+	// domain, Far is the number in other domains.
+	Successors, Random, Far int
+	// Seen bounds the set of seen stamps.
+	Seen int
+	// Suspicion is how long a peer that could not be reached is passed over.
+	Suspicion time.Duration
+	// Rotation is the time after which random peers are drawn again, so that
+	// an unlucky graph doesn't last.
+	Rotation time.Duration
+	// Scoped forwards an instance record to peers whose scope holds it, and to
+	// other peers only with probability RandomLinks. Otherwise every peer gets
+	// every record.
+	Scoped      bool
+	RandomLinks float64
+}
+
+// DefaultConfig gives each node four control peers in its domain and one
+// outside.
+var DefaultConfig = Config{
+	Successors: 2, Random: 2, Far: 1, Seen: 4096, Suspicion: 30 * time.Second, Rotation: 60 * time.Second, RandomLinks: 0.5,
+}
+
+// Spreader decides where updates go. It is not safe for concurrent use.
+type Spreader struct {
+	cfg           Config
+	random        *rand.Rand
+	local, remote []string
+	peers         []string
+	drawn         time.Duration
+	suspects      map[string]time.Duration
+	// seen and order hold the stamps of the latest updates; order is a ring.
+	seen  map[uint64]bool
+	order []uint64
+	at    int
+	// turn counts the comparisons of digests.
+	turn int
+}
+
+// New returns a spreader without peers.
+func New(cfg Config, seed uint64) *Spreader {
+	d := DefaultConfig
+	cfg.Successors = cmp.Or(cfg.Successors, d.Successors)
+	cfg.Random = cmp.Or(cfg.Random, d.Random)
+	cfg.Far = cmp.Or(cfg.Far, d.Far)
+	cfg.Seen = cmp.Or(cfg.Seen, d.Seen)
+	cfg.Suspicion = cmp.Or(cfg.Suspicion, d.Suspicion)
+	cfg.Rotation = cmp.Or(cfg.Rotation, d.Rotation)
+	cfg.RandomLinks = cmp.Or(cfg.RandomLinks, d.RandomLinks)
+	return &Spreader{
+		cfg: cfg, random: rand.New(rand.NewPCG(seed, xxhash.Sum64String(cfg.Self))),
+		suspects: make(map[string]time.Duration), seen: make(map[uint64]bool),
+	}
+}
+
+// SetMembers tells the addresses of the own domain and of known instances in
+// other domains. Control peers that are still members stay.
+func (s *Spreader) SetMembers(now time.Duration, local, remote []string) {
+	s.local, s.remote = ring(local), remote
+	s.choose(now, s.peers)
+}
+
+// Fail records that a peer could not be reached.
+func (s *Spreader) Fail(now time.Duration, address string) {
+	s.suspects[address] = now
+	if slices.Contains(s.peers, address) {
+		s.choose(now, s.peers)
+	}
+}
+
+// Tick draws the random peers again when their time is over.
+func (s *Spreader) Tick(now time.Duration) {
+	for a, t := range s.suspects {
+		if now-t >= s.cfg.Suspicion {
+			delete(s.suspects, a)
+		}
+	}
+	if now-s.drawn >= s.cfg.Rotation {
+		s.drawn = now
+		s.choose(now, nil)
+	}
+}
+
+// Peers returns the control peers.
+func (s *Spreader) Peers() []string { return s.peers }
+
+func ring(addresses []string) []string {
+	out := slices.Clone(addresses)
+	slices.SortFunc(out, func(a, b string) int {
+		return cmp.Or(cmp.Compare(xxhash.Sum64String(a), xxhash.Sum64String(b)), cmp.Compare(a, b))
+	})
+	return slices.Compact(out)
+}
+
+func (s *Spreader) usable(now time.Duration, address string) bool {
+	t, suspect := s.suspects[address]
+	return address != s.cfg.Self && (!suspect || now-t >= s.cfg.Suspicion)
+}
+
+// choose takes the ring successors, then fills up with random members; random
+// members in keep are preferred.
+func (s *Spreader) choose(now time.Duration, keep []string) {
+	var peers []string
+	take := func(from []string, n int) {
+		for _, a := range from {
+			if n == 0 {
+				return
+			}
+			if s.usable(now, a) && !slices.Contains(peers, a) {
+				peers = append(peers, a)
+				n--
+			}
+		}
+	}
+	start, _ := slices.BinarySearchFunc(s.local, s.cfg.Self, func(a, b string) int {
+		return cmp.Or(cmp.Compare(xxhash.Sum64String(a), xxhash.Sum64String(b)), cmp.Compare(a, b))
+	})
+	take(append(slices.Clone(s.local[start:]), s.local[:start]...), s.cfg.Successors)
+	take(s.shuffled(s.local, keep), s.cfg.Random)
+	take(s.shuffled(s.remote, keep), s.cfg.Far)
+	s.peers = peers
+}
+
+// shuffled returns the members that are in keep, then the others in random
+// order.
+func (s *Spreader) shuffled(members, keep []string) []string {
+	out := slices.Clone(members)
+	s.random.Shuffle(len(out), func(i, j int) { out[i], out[j] = out[j], out[i] })
+	slices.SortStableFunc(out, func(a, b string) int {
+		return cmp.Compare(index(keep, a), index(keep, b))
+	})
+	return out
+}
+
+func index(list []string, a string) int {
+	if i := slices.Index(list, a); i >= 0 {
+		return i
+	}
+	return len(list)
+}
+
+// First tells whether a stamp was not seen among the latest ones, and records
+// it. A stamp that was forgotten counts as new: it costs one more round of
+// forwarding and changes no state.
+func (s *Spreader) First(stamp uint64) bool {
+	if s.seen[stamp] {
+		return false
+	}
+	if len(s.order) < s.cfg.Seen {
+		s.order = append(s.order, stamp)
+	} else {
+		delete(s.seen, s.order[s.at])
+		s.order[s.at] = stamp
+		s.at = (s.at + 1) % s.cfg.Seen
+	}
+	s.seen[stamp] = true
+	return true
+}
+
+// Stamp returns the stamp of an instance record for First.
+func Stamp(i watcher.Instance) uint64 {
+	var b [8]byte
+	for k := range b {
+		b[k] = byte(i.Version >> (8 * k))
+	}
+	return xxhash.Sum64String(i.Service + "\x00" + i.Address + "\x00" + i.State.String() + "\x00" + string(b[:]))
+}
+
+// Releases returns the peers that get release items; every node needs these.
+func (s *Spreader) Releases(from string) []string {
+	return s.others(from, func(string) bool { return true })
+}
+
+// Instances returns the peers that get a record of a cell. scope returns what
+// a peer holds, and false when that is unknown.
+func (s *Spreader) Instances(from string, c watcher.Cell, scope func(string) (watcher.Scope, bool)) []string {
+	return s.others(from, func(a string) bool {
+		if !s.cfg.Scoped {
+			return true
+		}
+		sc, known := scope(a)
+		return known && sc.Holds(c) || s.random.Float64() < s.cfg.RandomLinks
+	})
+}
+
+func (s *Spreader) others(from string, keep func(string) bool) []string {
+	var out []string
+	for _, p := range s.peers {
+		if p != from && keep(p) {
+			out = append(out, p)
+		}
+	}
+	return out
+}
+
+// Partner returns the peer to compare digests with next, or "" when there is
+// none. Turns alternate between control peers, peers that share an interest,
+// control peers again and the domain's readers: only the last two groups hold
+// the records of other domains. With two readers and a turn each second, the
+// one that lives is heard every 8 s when the other is gone.
+func (s *Spreader) Partner(now time.Duration, sharing, readers []string) string {
+	turn := s.turn
+	s.turn++
+	first, at := s.peers, -1
+	switch turn % 4 {
+	case 0:
+		first, at = readers, turn/4
+	case 2:
+		first = sharing
+	}
+	for _, list := range [][]string{first, s.peers, readers} {
+		usable := make([]string, 0, len(list))
+		for _, a := range list {
+			if s.usable(now, a) {
+				usable = append(usable, a)
+			}
+		}
+		if len(usable) == 0 {
+			continue
+		}
+		if at >= 0 {
+			return usable[at%len(usable)]
+		}
+		return usable[s.random.IntN(len(usable))]
+	}
+	return ""
+}
