resolver: state machine of one attempt

Ruled out: - NothingWritten after Sent as a proof: the events can race, so it leads to Void. - Void before the retry of an idempotent kind: it costs a round trip and no proof is needed. - Retries for reasons that another attempt can't change (expired ticket, bad request and the like): they only use up allowance. Before: outcomes and reasons only. Conclusion: the forwarder keeps a Phase for each attempt and owns time, links and budgets.

--- /dev/null
+++ b/core/resolver/attempt_test.go
@@ -0,0 +1,115 @@
+package resolver
+
+import (
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+)
+
+var events = []Event{
+	NothingWritten{ReasonNoLink}, NothingWritten{ReasonBufferFull}, Sent{},
+	AnswerNotRun{ReasonDraining}, AnswerNotRun{ReasonQueueFull}, AnswerNotRun{ReasonTicketExpired},
+	AnswerRan{200}, AnswerUnknown{ReasonBackendLost}, LinkLost{}, VoidVoided{},
+	VoidDone{Ran{200}}, VoidDone{Unknown{ReasonBackendLost}}, VoidDone{NotRun{ReasonDraining}}, VoidDone{},
+	VoidRunning{}, VoidSettled{}, VoidForeign{}, VoidFailed{}, Cancelled{}, DeadlinePassed{},
+}
+
+// proves tells whether the event alone proves that the attempt never runs.
+func proves(e Event, sent bool) bool {
+	switch e := e.(type) {
+	case NothingWritten, Cancelled, DeadlinePassed:
+		return !sent
+	case AnswerNotRun, VoidVoided:
+		return true
+	case VoidDone:
+		_, ok := e.Outcome.(NotRun)
+		return ok
+	default:
+		return false
+	}
+}
+
+// TestNextRules guards P4 and P5 at the sender: a "not run" without proof, a
+// retry of what may have run, a retry under overload or without permission, and
+// a second final step.
+func TestNextRules(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		may := Permissions{rapid.Bool().Draw(t, "idempotent"), rapid.Bool().Draw(t, "allowance"), rapid.Bool().Draw(t, "ratio")}
+		var phase Phase
+		sent, final := false, false
+		for _, e := range rapid.SliceOfN(rapid.SampledFrom(events), 1, 12).Draw(t, "events") {
+			next, d := phase.Next(e, may)
+			var outcome Outcome
+			switch d := d.(type) {
+			case Retry:
+				outcome = d.Otherwise
+				if !may.Allowance || !may.Ratio {
+					t.Fatalf("%T: retry without permission", e)
+				}
+				switch o := outcome.(type) {
+				case NotRun:
+					if o.Reason.Overloaded() {
+						t.Fatalf("%T: retry of %v", e, o.Reason)
+					}
+				case Unknown:
+					if !may.Idempotent || o.Reason.Overloaded() {
+						t.Fatalf("%T: retry of what may have run", e)
+					}
+				case Ran:
+					t.Fatalf("%T: retry of what ran", e)
+				}
+			case Conclude:
+				outcome = d.Outcome
+			case Wait, AskVoid:
+			}
+			if _, ok := outcome.(NotRun); ok && !proves(e, sent) {
+				t.Fatalf("%T: not run without proof", e)
+			}
+			if final && d != (Wait{}) {
+				t.Fatalf("%T: %+v after the final step", e, d)
+			}
+			final = final || outcome != nil
+			_, nothing := e.(NothingWritten)
+			sent, phase = sent || !nothing, next
+		}
+	})
+}
+
+// TestNext guards the steps that the rules alone would allow to be too cautious.
+func TestNext(t *testing.T) {
+	all, safe, none := Permissions{true, true, true}, Permissions{false, true, true}, Permissions{}
+	for _, c := range []struct {
+		phase Phase
+		event Event
+		may   Permissions
+		next  Phase
+		want  Decision
+	}{
+		{PhaseUnsent, NothingWritten{ReasonNoLink}, safe, PhaseFinal, Retry{NotRun{ReasonNoLink}}},
+		{PhaseUnsent, NothingWritten{ReasonNoLink}, none, PhaseFinal, Conclude{NotRun{ReasonNoLink}}},
+		{PhaseUnsent, Sent{}, safe, PhaseSent, Wait{}},
+		{PhaseUnsent, Cancelled{}, safe, PhaseFinal, Conclude{NotRun{ReasonCancelled}}},
+		{PhaseSent, NothingWritten{ReasonNoLink}, safe, PhaseAsking, AskVoid{}},
+		{PhaseSent, LinkLost{}, safe, PhaseAsking, AskVoid{}},
+		{PhaseSent, LinkLost{}, all, PhaseFinal, Retry{Unknown{ReasonLinkLost}}},
+		{PhaseSent, AnswerNotRun{ReasonDraining}, safe, PhaseFinal, Retry{NotRun{ReasonDraining}}},
+		{PhaseSent, AnswerNotRun{ReasonQueueFull}, all, PhaseFinal, Conclude{NotRun{ReasonQueueFull}}},
+		{PhaseSent, AnswerNotRun{ReasonTicketExpired}, all, PhaseFinal, Conclude{NotRun{ReasonTicketExpired}}},
+		{PhaseSent, AnswerRan{201}, all, PhaseFinal, Conclude{Ran{201}}},
+		{PhaseSent, AnswerUnknown{ReasonBroken}, all, PhaseFinal, Retry{Unknown{ReasonBroken}}},
+		{PhaseSent, DeadlinePassed{}, all, PhaseFinal, Conclude{Unknown{ReasonDeadlineExceeded}}},
+		{PhaseAsking, VoidVoided{}, safe, PhaseFinal, Retry{NotRun{ReasonVoided}}},
+		{PhaseAsking, VoidDone{Ran{200}}, safe, PhaseFinal, Conclude{Ran{200}}},
+		{PhaseAsking, VoidRunning{}, safe, PhaseAsking, AskVoid{}},
+		{PhaseAsking, VoidSettled{}, safe, PhaseFinal, Conclude{Unknown{ReasonSettled}}},
+		{PhaseAsking, VoidForeign{}, safe, PhaseFinal, Conclude{Unknown{ReasonWrongIncarnation}}},
+		{PhaseAsking, VoidFailed{}, safe, PhaseFinal, Conclude{Unknown{ReasonLinkLost}}},
+		{PhaseAsking, VoidDone{}, safe, PhaseFinal, Conclude{Unknown{ReasonBroken}}},
+	} {
+		next, got := c.phase.Next(c.event, c.may)
+		if diff := cmp.Diff([]any{c.next, c.want}, []any{next, got}); diff != "" {
+			t.Errorf("%v %T: (-want +got)\n%s", c.phase, c.event, diff)
+		}
+	}
+}
