crocusd: attempts follow the resolver; no empty 200 without an outcome

Cause: when a retry found no further upstream the loop ended without an outcome, the HTTP handler wrote nothing and net/http sent an empty 200. Ruled out: a broken body on the link (the empty answers carried no Crocus-Outcome header). Conclusion: the outcome of the last try stands when no other upstream is left, and a missing outcome panics.

--- a/crocusd/internal/forwarder/exchange.go
+++ b/crocusd/internal/forwarder/exchange.go
@@ -48,20 +48,31 @@
 	return context.AfterFunc(ctx, func() { _ = s.SetDeadline(time.Unix(1, 0)) })
 }
 
+// trackingSink notes whether the caller has seen the head of an answer. After
+// that no other answer can follow.
+type trackingSink struct {
+	Sink
+	begun bool
+}
+
+// Head implements Sink.
+func (s *trackingSink) Head(status int, headers []*encoder.Header, length int64) {
+	s.begun = true
+	s.Sink.Head(status, headers, length)
+}
+
 // received is an answer as far as it was read.
 type received struct {
 	head *encoder.Answer
-	// whole is true when the end frame matched the body. While false after a
-	// read error, begun tells whether the caller has seen the head.
+	// whole is true when the end frame matched the body.
 	whole bool
-	begun bool
 	// unspent is the part of the allowance that came back.
 	unspent uint32
 }
 
 // receiveAnswer reads the head and the body of an answer. A body of up to hold
 // bytes reaches the sink only when it is whole.
-func receiveAnswer(s *linker.Stream, id *encoder.AttemptId, hold int, sink Sink) (received, error) {
+func receiveAnswer(s *linker.Stream, id *encoder.AttemptId, hold int, sink *trackingSink) (received, error) {
 	got := received{head: &encoder.Answer{}}
 	if err := s.Receive(got.head); err != nil {
 		got.head = nil
@@ -78,7 +89,7 @@
 	return receiveBody(s, got, hold, sink)
 }
 
-func receiveBody(s *linker.Stream, got received, hold int, sink Sink) (received, error) {
+func receiveBody(s *linker.Stream, got received, hold int, sink *trackingSink) (received, error) {
 	digest := xxhash.New()
 	length := uint64(0)
 	var held bytes.Buffer
@@ -91,12 +102,11 @@
 		case *encoder.BodyFrame_Data:
 			_, _ = digest.Write(f.Data)
 			length += uint64(len(f.Data))
-			if !got.begun && held.Len()+len(f.Data) <= hold {
+			if !sink.begun && held.Len()+len(f.Data) <= hold {
 				held.Write(f.Data)
 				continue
 			}
-			if !got.begun {
-				got.begun = true
+			if !sink.begun {
 				sink.Head(int(got.head.GetStatus()), got.head.GetHeaders(), got.head.GetBodyLength())
 				if err := sink.Write(held.Bytes()); err != nil {
 					return got, err
@@ -111,10 +121,9 @@
 				return got, err
 			}
 			got.whole = true
-			if got.begun {
+			if sink.begun {
 				return got, nil
 			}
-			got.begun = true
 			sink.Head(int(got.head.GetStatus()), got.head.GetHeaders(), int64(held.Len()))
 			return got, sink.Write(held.Bytes())
 		default:
--- a/crocusd/internal/forwarder/forwarder.go
+++ b/crocusd/internal/forwarder/forwarder.go
@@ -87,7 +87,7 @@
 	}
 	ratio := f.ratio(q.Service)
 	ratio.Deposit()
-	loop := &loop{f: f, q: q, sink: sink, ratio: ratio}
+	loop := &loop{f: f, q: q, sink: &trackingSink{Sink: sink}, ratio: ratio}
 	return loop.run(ctx)
 }
 
@@ -95,7 +95,7 @@
 type loop struct {
 	f     *Forwarder
 	q     Request
-	sink  Sink
+	sink  *trackingSink
 	ratio *budgeter.Ratio
 	// excluded holds the upstreams that refused or failed the request.
 	excluded []string
@@ -108,7 +108,9 @@
 	for {
 		upstream, reason := p.choose()
 		if reason != resolver.ReasonNone {
-			if p.result.Tries == 0 {
+			// After a try, its own outcome says more than the lack of another
+			// upstream.
+			if p.result.Outcome == nil {
 				p.result.Outcome = resolver.NotRun{Reason: reason}
 			}
 			return p.result
@@ -167,9 +169,18 @@
 }
 
 // receiveStored reads the answer that follows a VoidReply.
-func (f *Forwarder) receiveStored(s *linker.Stream, run *encoder.Run, sink Sink) resolver.Event {
+func (f *Forwarder) receiveStored(s *linker.Stream, run *encoder.Run, sink *trackingSink) resolver.Event {
 	got, err := receiveAnswer(s, run.GetId(), f.cfg.HoldAnswerBytes, sink)
-	return eventOf(got, err)
+	switch e := eventOf(got, err).(type) {
+	case resolver.AnswerRan:
+		return resolver.VoidDone{Outcome: resolver.Ran(e)}
+	case resolver.AnswerNotRun:
+		return resolver.VoidDone{Outcome: resolver.NotRun(e)}
+	case resolver.AnswerUnknown:
+		return resolver.VoidDone{Outcome: resolver.Unknown(e)}
+	default:
+		return resolver.VoidFailed{}
+	}
 }
 
 // eventOf turns what was read of an answer into an event.
@@ -189,4 +200,3 @@
 		return resolver.AnswerUnknown{Reason: resolver.Reason(got.head.GetReason())}
 	}
 }
-
--- a/crocusd/internal/forwarder/minter.go
+++ b/crocusd/internal/forwarder/minter.go
@@ -132,7 +132,7 @@
 
 // askVoid asks the gate of an incarnation to void a try. When the try has ended
 // there, the stored answer goes to the sink.
-func (f *Forwarder) askVoid(ctx context.Context, run *encoder.Run, sink Sink) resolver.Event {
+func (f *Forwarder) askVoid(ctx context.Context, run *encoder.Run, sink *trackingSink) resolver.Event {
 	target := run.GetTarget()
 	l, err := f.links.Get(ctx, target.GetAddress())
 	if err != nil {
--- a/crocusd/internal/forwarder/try.go
+++ b/crocusd/internal/forwarder/try.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"crocustack/core/encoder"
@@ -23,18 +24,18 @@
 }
 
 // send sends the request and waits for what comes of it.
-func (t *try) send(ctx context.Context) (resolver.Event, received) {
+func (t *try) send(ctx context.Context) resolver.Event {
 	p := t.loop
 	l, err := p.f.links.Get(ctx, t.upstream.Address)
 	if err != nil {
-		return resolver.NothingWritten{Reason: resolver.ReasonNoLink}, received{}
+		return resolver.NothingWritten{Reason: resolver.ReasonNoLink}
 	}
 	if p.q.Ticket != nil && l.Peer().GetIncarnation().GetBootId() != p.q.Ticket.Home.BootID {
-		return t.foreignTicket(), received{}
+		return t.foreignTicket()
 	}
 	s, err := l.OpenStream()
 	if err != nil {
-		return resolver.NothingWritten{Reason: resolver.ReasonNoLink}, received{}
+		return resolver.NothingWritten{Reason: resolver.ReasonNoLink}
 	}
 	defer l.Done()
 	defer func() { _ = s.Close() }()
@@ -55,7 +56,7 @@
 	return resolver.AnswerUnknown{Reason: resolver.ReasonTicketForeign}
 }
 
-func (t *try) exchange(ctx context.Context, s *linker.Stream) (resolver.Event, received) {
+func (t *try) exchange(ctx context.Context, s *linker.Stream) resolver.Event {
 	p := t.loop
 	started := p.f.clock.Now()
 	p.f.router.Start(started, p.q.Service, t.upstream.Address)
@@ -72,7 +73,7 @@
 		}
 	}
 	t.learn(got, event, p.f.clock.Now()-started)
-	return event, got
+	return event
 }
 
 // learn tells router, levels and budgets how the try ended.
@@ -133,20 +134,28 @@
 	}
 }
 
-// runTry sends the request once and resolves it. It returns true when another
-// try is allowed; the budgets are already charged for it.
+// resolve sends the request once and follows the attempt to its end. It returns
+// true when another try is to be made; its units are taken by then.
 func (t *try) resolve(ctx context.Context) bool {
-	event, got := t.send(ctx)
+	event := t.send(ctx)
+	phase := resolver.PhaseUnsent
 	if t.run != nil {
 		defer t.loop.f.seq.Settle(t.run.GetId().GetSequence())
+		phase = resolver.PhaseSent
 	}
 	for {
-		switch d := resolver.Decide(event, t.inputs(got)).(type) {
+		var d resolver.Decision
+		phase, d = phase.Next(event, t.permissions())
+		switch d := d.(type) {
+		case resolver.Wait:
+			// Every event from here on decides; a wait would never end.
+			t.loop.result.Outcome = resolver.Unknown{Reason: resolver.ReasonBroken}
+			return false
 		case resolver.AskVoid:
-			event = t.loop.f.askVoid(ctx, t.run, t.loop.sink)
-			t.loop.record(recorder.KindVoid, t.upstream.Address, nil, resolver.ReasonNone, eventName(event))
+			event = t.ask(ctx, event)
 		case resolver.Retry:
-			return true
+			t.loop.result.Outcome = d.Otherwise
+			return t.takeRetry()
 		case resolver.Conclude:
 			t.loop.result.Outcome = d.Outcome
 			return false
@@ -154,9 +163,51 @@
 	}
 }
 
-func (t *try) inputs(received) resolver.Inputs {
+// runningPause is the time between two questions about a try that still runs.
+// The gate itself waits for the end of a run before it answers.
+const runningPause = 50 * time.Millisecond
+
+func (t *try) ask(ctx context.Context, last resolver.Event) resolver.Event {
+	if _, ok := last.(resolver.VoidRunning); ok {
+		select {
+		case <-ctx.Done():
+			return resolver.DeadlinePassed{}
+		case <-time.After(runningPause):
+		}
+	}
+	event := t.loop.f.askVoid(ctx, t.run, t.loop.sink)
+	t.loop.record(recorder.KindVoid, t.upstream.Address, nil, resolver.ReasonNone, fmt.Sprintf("%T", event))
+	return event
+}
+
+// passThroughTries is the number of tries at each hop under the baseline policy.
+const passThroughTries = 3
+
+func (t *try) permissions() resolver.Permissions {
 	p := t.loop
-	return resolver.Inputs{Idempotent: p.q.Kind.Idempotent, Allowance: p.q.Pool != nil && p.q.Pool.Held() > 0, Ratio: true}
+	may := resolver.Permissions{Idempotent: p.q.Kind.Idempotent}
+	switch {
+	case p.sink.begun:
+		// The caller has seen the head of an answer; a second one can't follow.
+	case p.f.cfg.PassThrough:
+		may.Allowance, may.Ratio = p.result.Tries < passThroughTries, true
+	default:
+		may.Allowance, may.Ratio = p.q.Pool != nil && p.q.Pool.Held() > 0, true
+	}
+	return may
 }
 
-func eventName(e resolver.Event) string { return "" }
+// takeRetry takes the units for another try and reports whether there were any.
+func (t *try) takeRetry() bool {
+	p := t.loop
+	if p.f.cfg.PassThrough {
+		return true
+	}
+	allowed := p.ratio.TryRetry() && p.q.Pool.Spend()
+	detail := "another try"
+	if !allowed {
+		detail = "no retry left"
+	}
+	p.record(recorder.KindRetry, t.upstream.Address, p.result.Outcome, resolver.ReasonNone, detail)
+	return allowed
+}
--- a/crocusd/internal/handler/backend.go
+++ b/crocusd/internal/handler/backend.go
@@ -28,15 +28,20 @@
 	headerTrace    = "Traceparent"
 )
 
-// backendTransport bounds what one backend server gets. The idle timeout stays
-// below usual server-side ones, so that the transport seldom meets a connection
-// that the server is closing.
-func backendTransport(maxConns int) *http.Transport {
+// maxIdleConns keeps the connections of a whole limit of requests alive; the
+// transport's default of 2 would open a new one for most requests, at about
+// 1 ms each.
+const maxIdleConns = 256
+
+// backendTransport returns the transport to the backend server. The number of
+// connections is bounded by the admission limit. The idle timeout stays below
+// usual server-side ones, so that the transport seldom meets a connection that
+// the server is closing.
+func backendTransport() *http.Transport {
 	return &http.Transport{
 		DialContext:         (&net.Dialer{Timeout: time.Second}).DialContext,
-		MaxConnsPerHost:     maxConns,
-		MaxIdleConns:        maxConns,
-		MaxIdleConnsPerHost: maxConns,
+		MaxIdleConns:        maxIdleConns,
+		MaxIdleConnsPerHost: maxIdleConns,
 		IdleConnTimeout:     20 * time.Second,
 		DisableCompression:  true,
 	}
--- a/crocusd/internal/handler/execute.go
+++ b/crocusd/internal/handler/execute.go
@@ -40,6 +40,7 @@
 	result := admitter.Result{}
 	switch r := r.(type) {
 	case answered:
+		result.Failed = r.resp.StatusCode >= http.StatusInternalServerError
 		h.deliver(s, m, run, r.resp)
 	case notRun:
 		if r.draining {
@@ -181,4 +182,3 @@
 	}}})
 	h.record(m, recorder.KindAnswer, resolver.Ran{Status: int(head.GetStatus())}, "streamed")
 }
-
--- a/crocusd/internal/handler/handler.go
+++ b/crocusd/internal/handler/handler.go
@@ -28,7 +28,6 @@
 	BackendURL      string // Without a slash at the end.
 	MaxBodyBytes    int64
 	HoldAnswerBytes int64 // Answers up to this size are held until whole.
-	MaxConns        int   // Connections to the backend server.
 	// PassThrough turns the admission off, for the baseline.
 	PassThrough    bool
 	PauseThreshold time.Duration
@@ -66,7 +65,7 @@
 ) *Handler {
 	return &Handler{
 		cfg: cfg, self: self, clock: clock, runs: runs, calls: calls, levels: levels, rec: rec,
-		client:   &http.Client{Transport: backendTransport(cfg.MaxConns), CheckRedirect: noRedirect},
+		client:   &http.Client{Transport: backendTransport(), CheckRedirect: noRedirect},
 		adm:      newAdmission(clock, cfg.Admission),
 		pause:    detector.NewPause(cfg.PauseThreshold),
 		gate:     gatekeeper.New(cfg.Gate, self),
@@ -342,7 +341,7 @@
 	id, reason := uint64(0), resolver.ReasonNone
 	if !h.cfg.PassThrough {
 		id, reason = h.adm.enter(waitCtx, admitter.Request{
-			Class: classOf(m), Depth: m.GetDepth(), TreeID: m.GetTreeId(), Deadline: arrived + time.Until(deadlineOf(ctx)),
+			Class: classOf(m), Kind: m.GetKind(), Depth: m.GetDepth(), TreeID: m.GetTreeId(), Deadline: arrived + time.Until(deadlineOf(ctx)),
 		})
 	}
 	close(admitted)
@@ -495,4 +494,3 @@
 	_, _ = rand.Read(b[:])
 	return hex.EncodeToString(b[:])
 }
-
--- a/crocusd/internal/server/server.go
+++ b/crocusd/internal/server/server.go
@@ -264,6 +264,9 @@
 			sink.Abort()
 		}
 		writeUnknown(w, o.Reason)
+	case nil:
+		// net/http would answer an empty 200 for a handler that writes nothing.
+		panic("forwarder returned no outcome")
 	}
 }
 
