detector: pauses of the process and silent links

Ruled out: - Detection at ticks alone: a request handler can run before the ticker after a pause, and a second pause can begin before the next tick. - Abandoning by elapsed time alone: after a pause of this process every link would look silent, so a late Decide begins the wait anew. Before: no code.

--- /dev/null
+++ b/core/detector/detector_test.go
@@ -0,0 +1,93 @@
+package detector
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+const ms = time.Millisecond
+
+// TestPause guards a request that is run from a link whose content is from
+// before a pause, whichever of tick and request comes first, and a link that is
+// held without a pause.
+func TestPause(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		p := NewPause(300 * ms)
+		var now, tick, seen, ended time.Duration
+		gap := false // A pause ended and no tick has come since.
+		pass := func(t *rapid.T, from, to int) {
+			now += time.Duration(rapid.IntRange(from, to).Draw(t, "ms")) * ms
+			if now-tick > 300*ms && !gap || now-seen > 300*ms {
+				gap, ended = true, now
+			}
+			seen = now
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"tick": func(t *rapid.T) {
+				pass(t, 1, 600)
+				if got := p.Tick(now); got != gap {
+					t.Fatalf("tick at %v after %v: pause %v, want %v", now, tick, got, gap)
+				}
+				tick, gap = now, false
+			},
+			"request": func(t *rapid.T) {
+				pass(t, 0, 400)
+				if got := p.Suspect(now); got != gap {
+					t.Fatalf("request at %v, tick at %v: suspect %v, want %v", now, tick, got, gap)
+				}
+				confirmed := time.Duration(rapid.IntRange(0, int(now/ms)).Draw(t, "confirmed")) * ms
+				want := ended > 0 && confirmed <= ended
+				if got := p.SuspectSince(now, confirmed); got != want {
+					t.Fatalf("link confirmed at %v, pause ended at %v: held %v, want %v", confirmed, ended, got, want)
+				}
+			},
+		})
+	})
+}
+
+// TestSilence guards a silent link that stays in use, and a link that is closed
+// although it is idle, answers, or was not read because this process paused.
+func TestSilence(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const quiet, timeout, interval = 300 * ms, 700 * ms, 50 * ms
+		s := NewSilence(quiet, timeout)
+		var now, read, waits, resumed, probed time.Duration // Times of the last of each; waits is -1 when idle.
+		waits = -1
+		for range rapid.IntRange(1, 120).Draw(t, "rounds") {
+			now += interval
+			switch rapid.IntRange(0, 30).Draw(t, "event") {
+			case 0:
+				read = now
+				s.Read(now)
+			case 1:
+				waits = -1
+			case 2:
+				now += time.Second
+				resumed = now
+			default:
+				if waits < 0 {
+					waits = now
+				}
+			}
+			got := s.Decide(now, waits >= 0)
+			silent := now - max(read, waits, resumed)
+			switch {
+			case got == ActionProbe && (waits < 0 || silent < quiet || probed > now-silent):
+				t.Fatalf("probe after %v, last probe at %v", silent, probed)
+			case got == ActionProbe:
+				probed = now
+			case got == ActionAbandon && (waits < 0 || silent < quiet+timeout || probed <= now-silent):
+				t.Fatalf("abandoned after %v", silent)
+			case got == ActionAbandon:
+				if s.Read(now); s.Decide(now+interval, false) != ActionAbandon {
+					t.Fatal("link came back after it was abandoned")
+				}
+				return
+			case waits >= 0 && silent > quiet+timeout+interval:
+				t.Fatalf("link in use after %v without a read", silent)
+			}
+		}
+	})
+}
