forwarder: a request in doubt stays in doubt

Cause: an idempotent request whose first try ended as Unknown and whose second was refused was reported as NotRun, although the first may have run. Ruled out: the gate (each of its NotRun answers was true for its own try). Conclusion: NotRun is the verdict on the whole request, not on its last try. Also: links use detector.Silence, and requests read after a pause are held by detector.Pause until their link made a round trip.

--- a/core/linker/link.go
+++ b/core/linker/link.go
@@ -40,8 +40,8 @@
 // countingConn notes when bytes last came in and counts the traffic.
 type countingConn struct {
 	net.Conn
-	lastRead     atomic.Int64 // Unix nanoseconds.
-	read, writen atomic.Int64
+	lastRead      atomic.Int64 // Unix nanoseconds.
+	read, written atomic.Int64
 }
 
 func (c *countingConn) Read(b []byte) (int, error) {
@@ -55,7 +55,7 @@
 
 func (c *countingConn) Write(b []byte) (int, error) {
 	n, err := c.Conn.Write(b)
-	c.writen.Add(int64(n))
+	c.written.Add(int64(n))
 	return n, err
 }
 
@@ -74,7 +74,10 @@
 	sendMu  sync.Mutex
 	pending atomic.Int64
 	lastUse atomic.Int64 // Unix nanoseconds.
-	closed  atomic.Bool
+	// roundTrip is when the last round trip ended, by the local clock with its
+	// monotonic reading; the handshake is the first.
+	roundTrip atomic.Pointer[time.Time]
+	closed    atomic.Bool
 }
 
 // Peer returns what the peer said of itself in the handshake.
@@ -87,7 +90,7 @@
 func (l *Link) Pending() int64 { return l.pending.Load() }
 
 // Traffic returns the bytes read and written since the link was opened.
-func (l *Link) Traffic() (read, written int64) { return l.conn.read.Load(), l.conn.writen.Load() }
+func (l *Link) Traffic() (read, written int64) { return l.conn.read.Load(), l.conn.written.Load() }
 
 // Closed tells whether the link can no longer be used.
 func (l *Link) Closed() bool { return l.closed.Load() || l.sess.IsClosed() }
@@ -119,10 +122,17 @@
 
 // Ping waits for one round trip.
 func (l *Link) Ping() error {
-	_, err := l.sess.Ping()
-	return errors.Wrap(err, "ping")
+	if _, err := l.sess.Ping(); err != nil {
+		return errors.Wrap(err, "ping")
+	}
+	now := time.Now()
+	l.roundTrip.Store(&now)
+	return nil
 }
 
+// LastRoundTrip is when the peer was last known to hold this link open.
+func (l *Link) LastRoundTrip() time.Time { return *l.roundTrip.Load() }
+
 // Abandon closes the link at once and drops what was not yet sent.
 func (l *Link) Abandon() {
 	l.closed.Store(true)
--- a/core/linker/manager.go
+++ b/core/linker/manager.go
@@ -12,6 +12,7 @@
 	"github.com/hashicorp/yamux"
 	"golang.org/x/sync/singleflight"
 
+	"crocustack/core/detector"
 	"crocustack/core/encoder"
 )
 
@@ -159,7 +160,7 @@
 func (m *Manager) start(conn net.Conn, dialed bool) (*Link, error) {
 	counting := &countingConn{Conn: conn}
 	counting.lastRead.Store(time.Now().UnixNano())
-	l := &Link{Dialed: dialed, conn: counting, Since: time.Now()}
+	l := &Link{Dialed: dialed, conn: counting}
 	l.lastUse.Store(time.Now().UnixNano())
 	deadline := time.Now().Add(m.cfg.DialTimeout)
 	_ = conn.SetDeadline(deadline)
@@ -171,6 +172,8 @@
 		return nil, err
 	}
 	_ = conn.SetDeadline(time.Time{})
+	l.Since = time.Now()
+	l.roundTrip.Store(&l.Since)
 	if !m.register(l) {
 		_ = l.sess.Close()
 		return nil, errors.New("links are closed")
@@ -272,29 +275,36 @@
 	defer m.wg.Done()
 	ticker := time.NewTicker(m.cfg.SilentAfter / 3)
 	defer ticker.Stop()
-	var probedAt time.Time
+	silence := detector.NewSilence(m.cfg.SilentAfter, m.cfg.AbandonAfter)
+	seen := l.conn.lastRead.Load()
 	for {
 		select {
 		case <-l.sess.CloseChan():
 			return
-		case now := <-ticker.C:
-			quiet := now.Sub(time.Unix(0, l.conn.lastRead.Load()))
-			idle := now.Sub(time.Unix(0, l.lastUse.Load()))
-			switch {
-			case l.Pending() == 0 || quiet < m.cfg.SilentAfter:
-				probedAt = time.Time{}
-			case probedAt.IsZero():
-				probedAt = now
+		case t := <-ticker.C:
+			now := t.Sub(l.Since)
+			if read := l.conn.lastRead.Load(); read != seen {
+				seen = read
+				silence.Read(now)
+			}
+			switch silence.Decide(now, l.Pending() > 0) {
+			case detector.ActionNone:
+			case detector.ActionProbe:
 				go func() { _ = l.Ping() }()
-			case now.Sub(probedAt) >= m.cfg.AbandonAfter:
-				m.log.Info("link abandoned", "Peer", l.Address(), "Quiet", quiet.String(), "Pending", l.Pending())
+			case detector.ActionAbandon:
+				m.log.Info("link abandoned", "Peer", l.Address(), "Pending", l.Pending())
 				l.Abandon()
 				return
 			}
-			if l.Dialed && l.Pending() == 0 && idle > m.cfg.Idle {
+			if m.idle(l, t) {
 				_ = l.sess.Close()
 				return
 			}
 		}
 	}
 }
+
+// idle tells whether the side that opened the link should close it.
+func (m *Manager) idle(l *Link, now time.Time) bool {
+	return l.Dialed && l.Pending() == 0 && now.Sub(time.Unix(0, l.lastUse.Load())) > m.cfg.Idle
+}
--- a/crocusd/internal/forwarder/forwarder.go
+++ b/crocusd/internal/forwarder/forwarder.go
@@ -99,7 +99,10 @@
 	ratio *budgeter.Ratio
 	// excluded holds the upstreams that refused or failed the request.
 	excluded []string
-	result   Result
+	// doubt is the first Unknown outcome of a try, or nil. The request as a
+	// whole can't be NotRun after it.
+	doubt  resolver.Outcome
+	result Result
 }
 
 func (p *loop) run(ctx context.Context) Result {
@@ -117,6 +120,7 @@
 		}
 		t := &try{loop: p, upstream: upstream}
 		again := t.resolve(ctx)
+		p.keepDoubt()
 		if !again {
 			return p.result
 		}
@@ -124,6 +128,22 @@
 	}
 }
 
+// keepDoubt makes sure that an idempotent request that may have run in an
+// earlier try is not reported as not run because its last try was refused.
+func (p *loop) keepDoubt() {
+	switch o := p.result.Outcome.(type) {
+	case resolver.Unknown:
+		if p.doubt == nil {
+			p.doubt = o
+		}
+	case resolver.NotRun:
+		if p.doubt != nil {
+			p.result.Outcome = p.doubt
+		}
+	case resolver.Ran:
+	}
+}
+
 // choose returns the upstream for the next try, or the reason why there is none.
 func (p *loop) choose() (router.Upstream, resolver.Reason) {
 	now := p.f.clock.Now()
--- a/crocusd/internal/handler/handler.go
+++ b/crocusd/internal/handler/handler.go
@@ -206,7 +206,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), remaining)
 	defer cancel()
 	gone := senderGone(s)
-	if h.pause.Suspect(h.clock.Now()) && !h.confirm(l, gone) {
+	if h.pause.SuspectSince(h.clock.Now(), h.clock.At(l.LastRoundTrip())) && !h.confirm(l, gone) {
 		return
 	}
 	if !h.begin(ctx, s, m, gone) {
