--- a/crocusd/internal/commander/commander.go
+++ b/crocusd/internal/commander/commander.go
@@ -1,4 +1,3 @@
-// Package commander reads the command line of the node.
 package commander
 
 import (
--- /dev/null
+++ b/crocusd/internal/commander/doc.go
@@ -0,0 +1,2 @@
+// Package commander reads the command line of the node.
+package commander
