admitter: adaptive limit, queue by class, admission level

Cause: under overload a gate must keep issuing numbers and certificates (P2) without knowing the capacity of its backend server from any health endpoint. Before: no package.

--- /dev/null
+++ b/core/admitter/limiter.go
@@ -0,0 +1,340 @@
+package admitter
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// A group is groupSize consecutive samples of a kind, of which the minimum
+	// counts. It hides requests that are slow by nature as long as half of them
+	// are not.
+	groupSize = 8
+	// minGroups is the number of groups that give one latency value. With
+	// exponentially distributed latency its standard deviation is 25%.
+	minGroups = 16
+	// maxKinds bounds the baselines kept; further kinds share one.
+	maxKinds = 64
+
+	// tolerance is the latency, as a multiple of the baseline, up to which the
+	// limit isn't lowered.
+	tolerance = 2.0
+	// noise is the multiple of the baseline up to which a latency is taken as
+	// normal variation and moves the baseline up. It is well below tolerance,
+	// so that a standing overload doesn't become the new baseline.
+	noise = 1.5
+	// The baseline is the mean of the first baselineValues values. Later it
+	// moves by baselineFall of the distance to a lower value and by baselineRise
+	// to a higher one. A plain minimum would settle on the luckiest value ever
+	// seen.
+	baselineValues = 8
+	baselineFall   = 0.1
+	baselineRise   = 0.01
+
+	// slowed is the gradient below which latency may lower the limit. One kind
+	// out of many that is slower for its own reasons stays above it.
+	slowed = 0.9
+	// A latency that is confirmed as high lowers the limit to testCut of what it
+	// was. When that doesn't lower the latency below testGain of what it was, the
+	// concurrency isn't the cause: if it were, the latency would fall in
+	// proportion to the limit.
+	testCut  = 0.6
+	testGain = 0.8
+	// A latency that is more than rising times the one before is measured again
+	// before the limit is cut, since the cut could not be seen to help.
+	rising = 1.2
+	// settleFactor is the time, in mean latencies, after which the samples are
+	// those of a new limit. The requests that complete earlier are the fastest
+	// of those admitted since, which would look like an improvement.
+	settleFactor = 3
+	minSettle    = 20 * time.Millisecond
+	maxSettle    = 2 * time.Second
+	// measureTime is the shortest time for which latencies are measured that are
+	// compared with each other.
+	measureTime = 300 * time.Millisecond
+	// meanWeight is the weight of one sample in the mean latency.
+	meanWeight = 1.0 / 64
+	// minShare of the slots is the lowest limit that latency alone sets.
+	minShare = 0.05
+	// testTimeout ends a test for which too few requests complete.
+	testTimeout = 2 * time.Second
+
+	// growth is the coefficient of the cubic function by which the limit
+	// recovers, in slots per slot and cubic second. The limit gets from 1 slot
+	// to all of them in about 2 s.
+	growth = 0.2
+	// rampStart is the share of the slots in use directly after a cold start.
+	rampStart = 0.1
+)
+
+// baseline follows the latency of one kind.
+type baseline struct {
+	// The samples since the last value: their sum, the minimum of the current
+	// group and the sum of the minima of the complete groups.
+	samples  int
+	sum      float64
+	groupMin float64
+	minSum   float64
+
+	usual     float64 // What last is without overload.
+	values    int     // The number of values that usual is the mean of.
+	completed bool    // last and mean are from the current window.
+	last      float64 // The latest value: the mean of the group minima.
+	// mean is the mean of the samples of the latest value and marked its value
+	// before the limit was cut. The mean varies less than the minima, which
+	// matters when two values are compared, and more with the mix of requests,
+	// which matters over a longer time.
+	mean, marked float64
+}
+
+func (b *baseline) add(latency float64) {
+	if b.samples%groupSize == 0 || latency < b.groupMin {
+		b.groupMin = latency
+	}
+	b.sum += latency
+	if b.samples++; b.samples%groupSize == 0 {
+		b.minSum += b.groupMin
+	}
+}
+
+func (b *baseline) discard() {
+	b.samples, b.sum, b.minSum = 0, 0, 0
+}
+
+// complete ends a value when there are enough samples and returns their number.
+func (b *baseline) complete() int {
+	n := b.samples
+	b.completed = n >= groupSize*minGroups
+	if !b.completed {
+		return 0
+	}
+	b.mean = b.sum / float64(n)
+	b.last = b.minSum / float64(n/groupSize)
+	b.discard()
+	switch {
+	case b.values < baselineValues:
+		b.values++
+		b.usual += (b.last - b.usual) / float64(b.values)
+	case b.last < b.usual:
+		b.usual += baselineFall * (b.last - b.usual)
+	case b.last < noise*b.usual:
+		b.usual += baselineRise * (b.last - b.usual)
+	}
+	return n
+}
+
+// stage is how far the limiter is in finding out whether a high latency comes
+// from the concurrency.
+type stage int
+
+const (
+	stageNormal  stage = iota
+	stageConfirm       // One value was high; the limit doesn't grow.
+	stageCut           // The limit was cut and the effect is awaited.
+)
+
+// limiter is the adaptive concurrency limit.
+type limiter struct {
+	slots float64
+	// limit is between 1 and slots.
+	limit float64
+	// last is the value that effective returned last.
+	last int
+
+	started            bool
+	rampFrom, rampTime time.Duration
+
+	baselines map[string]*baseline
+	// mean is the mean latency of all kinds in seconds.
+	mean float64
+	// Samples before settled are not used.
+	settled   time.Duration
+	stage     stage
+	testLimit float64 // The limit before the last cut.
+
+	// The limit grows along growth × slots × (t - plateau)³ + ceiling, where t
+	// is the time since epoch: fast back to the limit that was too much, slow
+	// around it, fast again beyond.
+	epoch   time.Duration
+	ceiling float64
+	plateau float64
+}
+
+func newLimiter(slots int, rampTime time.Duration) limiter {
+	l := limiter{slots: float64(slots), limit: float64(slots), rampTime: rampTime, baselines: make(map[string]*baseline)}
+	l.last = l.effective(0)
+	return l
+}
+
+func (l *limiter) start(now time.Duration) {
+	if !l.started {
+		l.started = true
+		l.restart(now)
+	}
+}
+
+func (l *limiter) restart(now time.Duration) {
+	l.rampFrom = now
+	l.last = l.effective(now)
+}
+
+func (l *limiter) setSlots(now time.Duration, slots int) {
+	l.slots = float64(slots)
+	l.setLimit(now, min(l.limit, l.slots), l.limit)
+	l.last = l.effective(now)
+}
+
+// effective returns the number of requests that may be in flight.
+func (l *limiter) effective(now time.Duration) int {
+	n := l.limit
+	if elapsed := now - l.rampFrom; elapsed < l.rampTime {
+		n = min(n, l.slots*max(rampStart, float64(elapsed)/float64(l.rampTime)))
+	}
+	l.last = max(int(n), 1)
+	return l.last
+}
+
+// setLimit lowers or restores the limit and starts the growth towards ceiling.
+func (l *limiter) setLimit(now time.Duration, limit, ceiling float64) {
+	l.limit = min(max(limit, 1), l.slots)
+	l.ceiling = min(max(ceiling, l.limit), l.slots)
+	l.epoch = now
+	l.plateau = math.Cbrt((l.ceiling - l.limit) / (growth * l.slots))
+}
+
+func (l *limiter) grow(now time.Duration) {
+	t := (now - l.epoch).Seconds() - l.plateau
+	l.limit = min(max(l.limit, l.ceiling+growth*l.slots*t*t*t), l.slots)
+}
+
+// baseline returns the baseline of a kind.
+func (l *limiter) baseline(kind string) *baseline {
+	b, ok := l.baselines[kind]
+	if !ok {
+		if len(l.baselines) >= maxKinds && kind != "" {
+			return l.baseline("")
+		}
+		b = &baseline{}
+		l.baselines[kind] = b
+	}
+	return b
+}
+
+func (l *limiter) sample(now time.Duration, b *baseline, latency time.Duration) {
+	s := max(latency, time.Microsecond).Seconds()
+	if l.mean == 0 {
+		l.mean = s
+	}
+	l.mean += meanWeight * (s - l.mean)
+	if now >= l.settled {
+		b.add(s)
+	}
+}
+
+// refused lowers the limit by one, but not below n-1, where n is the number
+// that was in flight with the refused request. After a burst into a server with
+// few slots, the refusals lead to what it can hold; a single refusal for
+// another reason costs one slot.
+func (l *limiter) refused(now time.Duration, n int) {
+	l.stage = stageNormal
+	if limit := float64(l.effective(now)); limit >= float64(n) {
+		l.setLimit(now, limit-1, limit)
+	}
+}
+
+// endWindow evaluates the latencies. peak is the largest number in flight
+// since the last call.
+func (l *limiter) endWindow(now time.Duration, peak int) {
+	current := float64(l.effective(now))
+	var gradient, change float64
+	ok := l.stage == stageNormal || now >= l.settled+measureTime
+	if ok {
+		gradient, change, ok = l.evaluate()
+	}
+	switch {
+	case !ok:
+		if now-l.settled > testTimeout {
+			l.endTest(now, l.limit)
+		}
+	case gradient >= slowed || float64(peak) < current/2:
+		// The latency is normal, or the limit isn't what bounds the load.
+		l.endTest(now, l.limit)
+	case l.stage == stageNormal, l.stage == stageConfirm && change > rising:
+		l.stage = stageConfirm
+		l.settle(now)
+	case l.stage == stageCut && (change > testGain || l.limit <= l.floor()):
+		l.rebase()
+		l.endTest(now, l.testLimit)
+		l.settle(now)
+	default:
+		l.stage, l.testLimit = stageCut, current
+		l.setLimit(now, min(max(testCut*current, l.floor()), l.limit), l.limit)
+		l.settle(now)
+	}
+	if l.stage == stageNormal {
+		l.grow(now)
+	}
+	l.last = l.effective(now)
+}
+
+// endTest lets the limit grow again, from the given value if it was cut.
+func (l *limiter) endTest(now time.Duration, limit float64) {
+	if l.stage == stageCut {
+		l.setLimit(now, limit, limit)
+	}
+	l.stage = stageNormal
+}
+
+// settle marks the latencies for comparison and drops the samples until those
+// of the present limit arrive.
+func (l *limiter) settle(now time.Duration) {
+	wait := time.Duration(settleFactor * l.mean * float64(time.Second))
+	l.settled = now + min(max(wait, minSettle), maxSettle)
+	for _, b := range l.baselines {
+		b.discard()
+		b.marked = 0
+		if b.completed {
+			b.marked = b.mean
+		}
+	}
+}
+
+func (l *limiter) floor() float64 {
+	return max(1, minShare*l.slots)
+}
+
+// evaluate returns the ratio of the usual latency to the present one, at most
+// 1, and the ratio of the present latency to the marked one. Both are weighted
+// by the number of samples, so that one slow kind doesn't decide for all. The
+// result is false when no kind has enough samples.
+func (l *limiter) evaluate() (gradient, change float64, ok bool) {
+	var weight, marked float64
+	for _, b := range l.baselines {
+		w := float64(b.complete())
+		if w == 0 {
+			continue
+		}
+		gradient += w * min(1, tolerance*b.usual/b.last)
+		weight += w
+		if b.marked > 0 {
+			change += w * b.mean / b.marked
+			marked += w
+		}
+	}
+	if weight == 0 {
+		return 1, 1, false
+	}
+	if marked == 0 {
+		return gradient / weight, 1, true
+	}
+	return gradient / weight, change / marked, true
+}
+
+// rebase accepts the latest latencies as usual.
+func (l *limiter) rebase() {
+	for _, b := range l.baselines {
+		if b.completed && b.last > b.usual {
+			b.usual, b.values = b.last, 1
+		}
+	}
+}
--- /dev/null
+++ b/core/admitter/queue.go
@@ -0,0 +1,163 @@
+package admitter
+
+import (
+	"time"
+
+	"crocustack/core/classifier"
+)
+
+// maxDepth is the deepest call that the queue tells apart; call trees are up
+// to 8 deep.
+const maxDepth = 15
+
+type entry struct {
+	Request
+	arrived  time.Duration
+	priority uint32
+}
+
+func (e entry) expired(now, queueTime time.Duration) bool {
+	return now-e.arrived >= queueTime || e.Deadline > 0 && now >= e.Deadline
+}
+
+// queue holds the waiting requests by class and depth. A deep call comes before
+// a shallow one of its class, because more work has been done for its tree.
+type queue struct {
+	// Each bucket is in the order of arrival.
+	buckets [classifier.NumClasses][maxDepth + 1][]entry
+	// len and perClass count the entries of all buckets and of each class.
+	len      int
+	perClass [classifier.NumClasses]int
+	// over holds, for each class, for how long the oldest request has been over
+	// the target in every observation.
+	over [classifier.NumClasses]span
+}
+
+// span is a time span that is still going on.
+type span struct {
+	open  bool
+	since time.Duration
+}
+
+// observe updates the queueing delays.
+func (q *queue) observe(now, target time.Duration) {
+	for c := range q.over {
+		over := q.oldestAgeOf(now, classifier.Class(c)) > target
+		if over && !q.over[c].open {
+			q.over[c].since = now
+		}
+		q.over[c].open = over
+	}
+}
+
+// standing tells whether the queue of a class has been over target for a whole
+// window. A delay that random arrivals cause is shorter.
+func (q *queue) standing(now time.Duration, c classifier.Class) bool {
+	return q.over[c].open && now-q.over[c].since >= window
+}
+
+func (q *queue) push(e entry) {
+	b := &q.buckets[e.Class][min(e.Depth, maxDepth)]
+	*b = append(*b, e)
+	q.count(e.Class, 1)
+}
+
+func (q *queue) count(c classifier.Class, n int) {
+	q.len += n
+	q.perClass[c] += n
+}
+
+// bestClass returns the highest class in the queue, which must not be empty.
+func (q *queue) bestClass() classifier.Class {
+	c := classifier.Class(classifier.NumClasses - 1)
+	for q.perClass[c] == 0 {
+		c--
+	}
+	return c
+}
+
+// popBest takes the next request to admit from a queue that is not empty. When
+// the queue stands, the newest request goes first (adaptive LIFO), since the
+// oldest ones will mostly time out. For a short delay that would be wrong: the
+// oldest ones would time out although all could be admitted in time.
+func (q *queue) popBest(now time.Duration) entry {
+	c := q.bestClass()
+	d := maxDepth
+	for len(q.buckets[c][d]) == 0 {
+		d--
+	}
+	return q.pop(c, d, q.standing(now, c))
+}
+
+// popWorst takes the next request to shed from a queue that is not empty, the
+// one that popBest would take last.
+func (q *queue) popWorst(now time.Duration) entry {
+	c, d := classifier.Class(0), 0
+	for q.perClass[c] == 0 {
+		c++
+	}
+	for len(q.buckets[c][d]) == 0 {
+		d++
+	}
+	return q.pop(c, d, !q.standing(now, c))
+}
+
+func (q *queue) pop(c classifier.Class, d int, newest bool) entry {
+	b := &q.buckets[c][d]
+	q.count(c, -1)
+	var e entry
+	if newest {
+		last := len(*b) - 1
+		e, *b = (*b)[last], (*b)[:last]
+	} else {
+		e, *b = (*b)[0], (*b)[1:]
+	}
+	return e
+}
+
+func (q *queue) remove(id uint64) (entry, bool) {
+	found := q.takeIf(func(e entry) bool { return e.ID == id })
+	if len(found) == 0 {
+		return entry{}, false
+	}
+	return found[0], true
+}
+
+// takeIf removes and returns the entries for which drop returns true.
+func (q *queue) takeIf(drop func(entry) bool) []entry {
+	var taken []entry
+	for c := range q.buckets {
+		if q.perClass[c] == 0 {
+			continue
+		}
+		for d, b := range q.buckets[c] {
+			kept := b[:0]
+			for _, e := range b {
+				if drop(e) {
+					taken = append(taken, e)
+				} else {
+					kept = append(kept, e)
+				}
+			}
+			q.buckets[c][d] = kept
+		}
+	}
+	for _, e := range taken {
+		q.count(e.Class, -1)
+	}
+	return taken
+}
+
+// oldestAgeOf returns the longest time that a request of a class has waited.
+func (q *queue) oldestAgeOf(now time.Duration, c classifier.Class) time.Duration {
+	if q.perClass[c] == 0 {
+		return 0
+	}
+	var age time.Duration
+	for _, b := range q.buckets[c] {
+		if len(b) > 0 {
+			age = max(age, now-b[0].arrived)
+		}
+	}
+	return age
+}
