--- a/core/admitter/admitter.go
+++ b/core/admitter/admitter.go
@@ -77,8 +77,9 @@
 }
 
 type running struct {
-	class classifier.Class
-	kind  *baseline
+	class    classifier.Class
+	kind     *baseline
+	inFlight int // At the admission, with the request itself.
 }
 
 // Admitter is the admission control of one gate. It is not safe for concurrent
@@ -157,7 +158,7 @@
 	}
 	switch {
 	case res.Refused:
-		a.limiter.refused(now, len(a.inFlight))
+		a.limiter.refused(now, run.inFlight)
 	case res.Cancelled || res.Failed:
 	default:
 		a.limiter.sample(now, run.kind, res.Latency)
@@ -201,12 +202,14 @@
 			a.shed(now, e, resolver.ReasonLevelBelow)
 		}
 	}
+	// At half the queue time, a growing queue of the top class can still be
+	// admitted before it times out.
 	if a.topWait > a.cfg.QueueTime/2 {
-		a.reserve = min(a.reserve+max(1, float64(limit)/20), float64(limit)/2)
+		a.reserve = min(a.reserve+max(1, float64(limit)/10), float64(limit)/2)
 	} else {
-		// Half in 1.4 s and at least one slot in 10 s, so that a burst of the
-		// top class doesn't leave slots unused for long.
-		a.reserve = max(0.95*a.reserve-0.01, 0)
+		// Halves in 3.4 s. Slow requests of lower classes hold slots for about
+		// as long, so a faster decay lets them in before the next burst.
+		a.reserve = max(0.98*a.reserve-0.01, 0)
 	}
 	a.peak = len(a.inFlight)
 	a.topWait = 0
@@ -264,7 +267,7 @@
 
 func (a *Admitter) admit(now time.Duration, e entry) {
 	a.noteWait(now, e)
-	a.inFlight[e.ID] = running{class: e.Class, kind: a.limiter.baseline(e.Kind)}
+	a.inFlight[e.ID] = running{class: e.Class, kind: a.limiter.baseline(e.Kind), inFlight: len(a.inFlight) + 1}
 	if e.Class < classifier.ClassCritical {
 		a.lower++
 	}
--- a/core/admitter/limiter.go
+++ b/core/admitter/limiter.go
@@ -7,9 +7,9 @@
 
 const (
 	// A group is groupSize consecutive samples of a kind, of which the minimum
-	// counts. It hides requests that are slow by nature as long as one in four
-	// is not.
-	groupSize = 4
+	// counts. It hides requests that are slow by nature as long as half of them
+	// are not.
+	groupSize = 8
 	// minGroups is the number of groups that give one latency value. With
 	// exponentially distributed latency its standard deviation is 25%.
 	minGroups = 16
@@ -46,14 +46,14 @@
 	// settleFactor is the time, in mean latencies, after which the samples are
 	// those of a new limit. The requests that complete earlier are the fastest
 	// of those admitted since, which would look like an improvement.
-	settleFactor = 2
+	settleFactor = 3
 	minSettle    = 20 * time.Millisecond
 	maxSettle    = 2 * time.Second
 	// measureTime is the shortest time for which latencies are measured that are
 	// compared with each other.
 	measureTime = 300 * time.Millisecond
 	// meanWeight is the weight of one sample in the mean latency.
-	meanWeight = 1.0 / 16
+	meanWeight = 1.0 / 64
 	// minShare of the slots is the lowest limit that latency alone sets.
 	minShare = 0.05
 	// testTimeout ends a test for which too few requests complete.
@@ -231,13 +231,14 @@
 	}
 }
 
-// refused lowers the limit by one, but not below what the backend server still
-// holds. After a burst into a server with few slots, the refusals lead to
-// exactly what it can hold; a single refusal for another reason costs one slot.
-func (l *limiter) refused(now time.Duration, inFlight int) {
+// refused lowers the limit by one, but not below n-1, where n is the number
+// that was in flight with the refused request. After a burst into a server with
+// few slots, the refusals lead to what it can hold; a single refusal for
+// another reason costs one slot.
+func (l *limiter) refused(now time.Duration, n int) {
 	l.stage = stageNormal
-	if n := float64(l.effective(now)); n > float64(inFlight) {
-		l.setLimit(now, n-1, n)
+	if limit := float64(l.effective(now)); limit >= float64(n) {
+		l.setLimit(now, limit-1, limit)
 	}
 }
 
