--- a/core/gatekeeper/gate.go
+++ b/core/gatekeeper/gate.go
@@ -322,14 +322,18 @@
 	}
 	g.observed += min(now-g.now, g.cfg.MaxStep)
 	g.now = now
+	drops := g.cfg.MaxDrops
 	for len(g.buckets) > 0 && g.now-g.buckets[0].last >= ticketRetention*g.cfg.TicketLifetime {
 		end := g.nextSerial
 		if len(g.buckets) > 1 {
 			end = g.buckets[1].first
 		}
-		for serial := g.buckets[0].first; serial < end; serial++ {
-			if e, ok := g.tickets[serial]; ok {
-				delete(g.tickets, serial)
+		for first := &g.buckets[0].first; *first < end; *first++ {
+			if drops--; drops < 0 {
+				return
+			}
+			if e, ok := g.tickets[*first]; ok {
+				delete(g.tickets, *first)
 				g.release(e)
 			}
 		}
@@ -337,7 +341,7 @@
 	}
 	for front := g.aging.Front(); front != nil; front = g.aging.Front() {
 		k := front.Value.(agingKey)
-		if g.observed-k.ended < g.cfg.KeyLifetime {
+		if drops--; drops < 0 || g.observed-k.ended < g.cfg.KeyLifetime {
 			return
 		}
 		g.aging.Remove(front)
--- a/core/gatekeeper/gate_rapid_test.go
+++ b/core/gatekeeper/gate_rapid_test.go
@@ -15,7 +15,7 @@
 var worldConfig = Config{
 	MaxRecords: 6, MaxSenders: 5, MaxAnswerBytes: 3 * (answerOverhead + 8), MaxAnswer: answerOverhead + 8,
 	MaxTickets: 8, TicketLifetime: 20 * time.Second, MaxKeys: 3, MaxKeyLength: 4,
-	KeyLifetime: 3 * time.Second, MaxStep: 300 * time.Millisecond,
+	KeyLifetime: 3 * time.Second, MaxStep: 300 * time.Millisecond, MaxDrops: 1,
 }
 
 // message is a Begin or, when void is set, a Void in the network.
