admitter: levels without news fall steadily

Cause: an entry node learned that a level had fallen only through 1 in 100 requests; for a kind with 20 requests a second that took more than 6 s. Also, a request body of unknown length reserved 16 MB, so that a fifth one was refused with BufferFull. Conclusion: decay in place of fixed probes; bodies of unknown length reserve 64 KB at a time.

--- a/core/admitter/admitter_test.go
+++ b/core/admitter/admitter_test.go
@@ -245,24 +245,31 @@
 	}
 }
 
-// Guards against levels that never expire or that let no probe through.
+// Guards against levels that refuse what they should let pass, that never fall
+// without news, or that fall while there is news.
 func TestLevels(t *testing.T) {
 	l := NewLevels()
 	p := Priority(classifier.ClassBrowse, 7)
 	if p < 128 || p > 255 || p != Priority(classifier.ClassBrowse, 7) {
 		t.Fatalf("priority %d of a browse request, want a fixed value in 128 to 255", p)
 	}
-	l.Observe(0, "archiwum", "list", p+1)
-	passed := 0
-	for draw := range uint64(1000) {
-		if l.Allows(time.Second, "archiwum", "list", p, draw) {
-			passed++
+	now := time.Duration(0)
+	for range 100 {
+		l.Observe(now, "archiwum", "list", p+1)
+		now += levelHold
+		if l.Allows(now, "archiwum", "list", p) {
+			t.Fatalf("a request below the level passed at %v, with news every %v", now, levelHold)
 		}
 	}
-	if passed != 10 || !l.Allows(time.Second, "archiwum", "list", p+1, 1) || !l.Allows(time.Second, "archiwum", "get", 0, 1) {
-		t.Errorf("%d of 1000 passed below the level, want 10, and all others", passed)
+	if !l.Allows(now, "archiwum", "list", p+1) || !l.Allows(now, "archiwum", "get", 0) {
+		t.Error("a request at the level or of another kind was refused")
 	}
-	if got := l.Effective(levelLifetime, "archiwum", "list"); got != 0 {
+	// 10 ms at 256 levels a second are 2 levels, so the request passes soon
+	// after the news stopped, and no earlier.
+	if !l.Allows(now+10*time.Millisecond, "archiwum", "list", p) || l.Allows(now+10*time.Millisecond, "archiwum", "list", p-2) {
+		t.Errorf("level %d 10 ms after the hold, want %d", l.Effective(now+10*time.Millisecond, "archiwum", "list"), p-1)
+	}
+	if got := l.Effective(now+levelLifetime, "archiwum", "list"); got != 0 {
 		t.Errorf("level %d after its lifetime, want 0", got)
 	}
 }
--- a/core/admitter/levels.go
+++ b/core/admitter/levels.go
@@ -6,11 +6,15 @@
 )
 
 const (
-	// levelLifetime is how long a reported level counts. A service that is not
-	// called any more would otherwise keep its last level.
-	levelLifetime = 10 * time.Second
-	// probeEvery is the share of requests below a level that pass as probes.
-	probeEvery = 100
+	// levelHold is how long a reported level counts in full.
+	levelHold = 100 * time.Millisecond
+	// levelDecay is by how much a level falls in each second after that. The
+	// requests that it then lets pass bring news of the level. A fixed share of
+	// probes (1 in 100) took more than 6 s to notice a fall for a kind with 20
+	// requests a second.
+	levelDecay = 256
+	// levelLifetime is after how long a level without news is 0.
+	levelLifetime = levelHold + numLevels*time.Second/levelDecay
 	// sweepSize is the number of entries from which expired ones are removed.
 	sweepSize = 1024
 )
@@ -57,19 +61,20 @@
 	}
 }
 
-// Effective returns the level of a kind, or 0 when none is known.
+// Effective returns the level of a kind, or 0 when none is known. A level
+// without news falls steadily to 0.
 func (l *Levels) Effective(now time.Duration, service, kind string) uint32 {
 	l.mu.RLock()
 	defer l.mu.RUnlock()
 	e, ok := l.entries[levelKey{service, kind}]
-	if !ok || now-e.observed >= levelLifetime {
+	if !ok {
 		return 0
 	}
-	return e.level
+	fallen := uint32(max(now-e.observed-levelHold, 0) * levelDecay / time.Second)
+	return e.level - min(e.level, fallen)
 }
 
-// Allows tells whether a request may be sent. draw is a random number: 1 in 100
-// requests below the level passes, so that a drop of the level is noticed.
-func (l *Levels) Allows(now time.Duration, service, kind string, priority uint32, draw uint64) bool {
-	return priority >= l.Effective(now, service, kind) || draw%probeEvery == 0
+// Allows tells whether a request with the priority may be sent.
+func (l *Levels) Allows(now time.Duration, service, kind string, priority uint32) bool {
+	return priority >= l.Effective(now, service, kind)
 }
--- a/core/linker/link.go
+++ b/core/linker/link.go
@@ -74,7 +74,7 @@
 	sendMu  sync.Mutex
 	pending atomic.Int64
 	lastUse atomic.Int64 // Unix nanoseconds.
-	// roundTrip is when the last round trip ended, by the local clock with its
+	// roundTrip is when the last completed round trip began, by the local clock with its
 	// monotonic reading; the handshake is the first.
 	roundTrip atomic.Pointer[time.Time]
 	closed    atomic.Bool
@@ -122,11 +122,11 @@
 
 // Ping waits for one round trip.
 func (l *Link) Ping() error {
+	start := time.Now()
 	if _, err := l.sess.Ping(); err != nil {
 		return errors.Wrap(err, "ping")
 	}
-	now := time.Now()
-	l.roundTrip.Store(&now)
+	l.roundTrip.Store(&start)
 	return nil
 }
 
--- a/crocusd/internal/forwarder/forwarder.go
+++ b/crocusd/internal/forwarder/forwarder.go
@@ -81,7 +81,7 @@
 func (f *Forwarder) Forward(ctx context.Context, q Request, sink Sink) Result {
 	if q.Depth == 0 && !f.cfg.PassThrough {
 		priority := admitter.Priority(q.Class, q.TreeID)
-		if !f.levels.Allows(f.clock.Now(), q.Service, q.Kind.Name, priority, rand.Uint64()) {
+		if !f.levels.Allows(f.clock.Now(), q.Service, q.Kind.Name, priority) {
 			return Result{Outcome: resolver.NotRun{Reason: resolver.ReasonLevelBelowDownstream}}
 		}
 	}
--- a/crocusd/internal/server/server.go
+++ b/crocusd/internal/server/server.go
@@ -88,19 +88,12 @@
 			v.answerNotRun(w, q, reason, detail, start)
 			return
 		}
-		weight := min(max(r.ContentLength, 0), v.cfg.MaxBodyBytes)
-		if r.ContentLength < 0 {
-			weight = v.cfg.MaxBodyBytes
-		}
-		if weight > 0 && !v.buffer.TryAcquire(weight) {
-			v.answerNotRun(w, q, resolver.ReasonBufferFull, "no buffer left for the body", start)
-			return
-		}
-		defer v.buffer.Release(weight)
-		if q.Body, reason = v.readBody(w, r); reason != resolver.ReasonNone {
+		var release func()
+		if q.Body, release, reason = v.readBody(w, r); reason != resolver.ReasonNone {
 			v.answerNotRun(w, q, reason, "", start)
 			return
 		}
+		defer release()
 		if reason = complete(r, &q); reason != resolver.ReasonNone {
 			v.refuse(w, r, q, reason, start)
 			return
@@ -180,19 +173,43 @@
 	return id.String()
 }
 
-func (v *Server) readBody(w http.ResponseWriter, r *http.Request) ([]byte, resolver.Reason) {
+// bodyStep is the part of the buffer budget that a body of unknown length takes
+// at a time.
+const bodyStep = 64 << 10
+
+// readBody reads a body whole. The release function gives its part of the
+// buffer budget back.
+func (v *Server) readBody(w http.ResponseWriter, r *http.Request) (body []byte, release func(), reason resolver.Reason) {
 	if r.ContentLength > v.cfg.MaxBodyBytes {
-		return nil, resolver.ReasonBodyTooLarge
+		return nil, nil, resolver.ReasonBodyTooLarge
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, v.cfg.MaxBodyBytes))
-	if err == nil {
-		return body, resolver.ReasonNone
-	}
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		return nil, resolver.ReasonBodyTooLarge
+	held := int64(0)
+	release = func() { v.buffer.Release(held) }
+	reader := http.MaxBytesReader(w, r.Body, v.cfg.MaxBodyBytes)
+	for {
+		step := max(min(r.ContentLength, v.cfg.MaxBodyBytes)-held, 0)
+		if r.ContentLength < 0 {
+			step = bodyStep
+		}
+		if !v.buffer.TryAcquire(step) {
+			release()
+			return nil, nil, resolver.ReasonBufferFull
+		}
+		held += step
+		part, err := io.ReadAll(io.LimitReader(reader, max(step, 1)))
+		body = append(body, part...)
+		var tooLarge *http.MaxBytesError
+		switch {
+		case errors.As(err, &tooLarge):
+			release()
+			return nil, nil, resolver.ReasonBodyTooLarge
+		case err != nil:
+			release()
+			return nil, nil, resolver.ReasonCancelled
+		case int64(len(part)) < max(step, 1):
+			return body, release, resolver.ReasonNone
+		}
 	}
-	return nil, resolver.ReasonCancelled
 }
 
 // fromCaller starts a new call tree.
