router: choice of upstreams by subset, load, latency and failures

Cause: a node must choose among instances whose list is stale and whose load endpoints mislead, without opening a link to every instance and without preferring an upstream because it fails fast. Before: no package. The weight of load above the limit has no test that fails without it.

--- /dev/null
+++ b/core/router/router.go
@@ -0,0 +1,341 @@
+package router
+
+import (
+	"cmp"
+	"encoding/binary"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"crocustack/core/resolver"
+)
+
+// Config holds the settings of a Router. Zero fields take the defaults.
+type Config struct {
+	// SubsetSize is the largest number of upstreams of one service that this
+	// node uses; default 8. A quarter of it is kept for other domains.
+	SubsetSize int
+	// SpillFactor is the relation of the best score of the own domain to that
+	// of another domain above which the other domain is used; default 1.5.
+	SpillFactor float64
+	// SlowStart is the time until a new upstream has its full weight; default
+	// 10 s.
+	SlowStart time.Duration
+	// LeavingTime is how long a leaving upstream is avoided; default 60 s,
+	// twice the default bound of a drain. The address may then belong to a new
+	// instance.
+	LeavingTime time.Duration
+}
+
+func (c Config) withDefaults() Config {
+	if c.SubsetSize <= 0 {
+		c.SubsetSize = 8
+	}
+	if c.SpillFactor <= 0 {
+		c.SpillFactor = 1.5
+	}
+	if c.SlowStart <= 0 {
+		c.SlowStart = 10 * time.Second
+	}
+	if c.LeavingTime <= 0 {
+		c.LeavingTime = time.Minute
+	}
+	return c
+}
+
+// service is the state of one called service.
+type service struct {
+	known map[string]*stats // By address.
+	// local and remote are the subset: upstreams of the own domain and of other
+	// domains that were not leaving when it was built. Together they have at
+	// most SubsetSize entries.
+	local, remote []*stats
+	// rebuildAt is when the next leaving upstream may be used again, or 0.
+	rebuildAt time.Duration
+	// typical is the mean latency over all upstreams in seconds.
+	typical float64
+}
+
+// Router chooses upstreams. It is safe for concurrent use.
+type Router struct {
+	cfg            Config
+	domain, region string
+	seed           uint64
+
+	mu       sync.Mutex
+	services map[string]*service
+	// leaving holds until when an address gets no work. It is kept apart from
+	// the lists, which may be older than the message that an upstream leaves.
+	leaving map[string]time.Duration
+}
+
+// New returns a router for a node in the domain and region. The seed makes
+// nodes choose different subsets.
+func New(cfg Config, domain, region string, seed uint64) *Router {
+	return &Router{
+		cfg:      cfg.withDefaults(),
+		domain:   domain,
+		region:   region,
+		seed:     seed,
+		services: make(map[string]*service),
+		leaving:  make(map[string]time.Duration),
+	}
+}
+
+// SetUpstreams replaces the list of a service's upstreams. What is known about
+// an upstream is kept while it is listed.
+func (r *Router) SetUpstreams(now time.Duration, name string, us []Upstream) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	maps.DeleteFunc(r.leaving, func(_ string, until time.Duration) bool { return now >= until })
+	before, known := r.services[name]
+	s := &service{known: make(map[string]*stats, len(us))}
+	if known {
+		s.typical = before.typical
+	}
+	for _, u := range us {
+		st := &stats{rank: rank(r.seed, u.Address), rampFrom: now}
+		if !known {
+			// At the start of the node every upstream is new to it, which says
+			// nothing about the upstreams.
+			st.rampFrom = now - r.cfg.SlowStart
+		} else if old, ok := before.known[u.Address]; ok {
+			st = old
+		}
+		st.Upstream = u
+		st.leavingUntil = r.leaving[u.Address]
+		st.rampFrom = max(st.rampFrom, st.leavingUntil)
+		s.known[u.Address] = st
+	}
+	r.services[name] = s
+	r.rebuild(now, s)
+}
+
+// MarkLeaving stops new work for an upstream.
+func (r *Router) MarkLeaving(now time.Duration, address string) {
+	r.setLeaving(now, address, now+r.cfg.LeavingTime)
+}
+
+// ClearLeaving allows work for an upstream again when a new instance has
+// announced itself under the address. The upstream starts slowly.
+func (r *Router) ClearLeaving(now time.Duration, address string) {
+	r.setLeaving(now, address, now)
+}
+
+func (r *Router) setLeaving(now time.Duration, address string, until time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.leaving[address] = until
+	for _, s := range r.services {
+		if st, ok := s.known[address]; ok {
+			st.leavingUntil = until
+			st.rampFrom = until
+			r.rebuild(now, s)
+		}
+	}
+}
+
+// rebuild chooses the subset. Rendezvous hashing changes as few members as
+// possible when the list changes.
+func (r *Router) rebuild(now time.Duration, s *service) {
+	s.local, s.remote, s.rebuildAt = nil, nil, 0
+	for _, st := range s.known {
+		switch {
+		case st.leaving(now):
+			if s.rebuildAt == 0 || st.leavingUntil < s.rebuildAt {
+				s.rebuildAt = st.leavingUntil
+			}
+		case st.Domain == r.domain:
+			s.local = append(s.local, st)
+		default:
+			s.remote = append(s.remote, st)
+		}
+	}
+	byRank := func(a, b *stats) int {
+		return cmp.Or(cmp.Compare(r.distance(a), r.distance(b)), cmp.Compare(b.rank, a.rank), cmp.Compare(a.Address, b.Address))
+	}
+	slices.SortFunc(s.local, byRank)
+	slices.SortFunc(s.remote, byRank)
+	remote := min(len(s.remote), max(r.cfg.SubsetSize/4, r.cfg.SubsetSize-len(s.local)))
+	local := min(len(s.local), r.cfg.SubsetSize-remote)
+	s.local, s.remote = s.local[:local], s.remote[:remote]
+}
+
+// distance is 0 for upstreams in the node's region and 1 for others.
+func (r *Router) distance(st *stats) int {
+	if st.Region == r.region {
+		return 0
+	}
+	return 1
+}
+
+// Pick chooses an upstream that is neither leaving nor among the excluded
+// addresses. draw is a random number.
+func (r *Router) Pick(now time.Duration, name string, exclude []string, draw uint64) Decision {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	s, ok := r.services[name]
+	if !ok {
+		return None{resolver.ReasonNoUpstream}
+	}
+	if s.rebuildAt > 0 && now >= s.rebuildAt {
+		r.rebuild(now, s)
+	}
+	local, localScore := r.choose(now, s, s.local, exclude, draw)
+	remote, remoteScore := r.choose(now, s, s.remote, exclude, draw)
+	switch {
+	case local == nil && remote == nil:
+		return None{resolver.ReasonNoUpstream}
+	case local == nil:
+		return Chosen{remote.Upstream, WhyNoLocal, remoteScore}
+	case remote != nil && r.best(now, s, s.local, exclude) > r.cfg.SpillFactor*remoteScore:
+		return Chosen{remote.Upstream, WhySpill, remoteScore}
+	default:
+		return Chosen{local.Upstream, WhyLocal, localScore}
+	}
+}
+
+// choose returns the better one of two different random candidates, or nil. A
+// candidate in its slow start gives way to the other one in most cases.
+func (r *Router) choose(now time.Duration, s *service, from []*stats, exclude []string, draw uint64) (*stats, float64) {
+	usable := len(from)
+	for _, st := range from {
+		if slices.Contains(exclude, st.Address) {
+			usable--
+		}
+	}
+	if usable == 0 {
+		return nil, 0
+	}
+	i := int(uint32(draw)) % usable
+	chosen := nth(from, exclude, i)
+	score := chosen.score(now, s.typical)
+	if usable == 1 {
+		return chosen, score
+	}
+	other := nth(from, exclude, (i+1+int(uint32(draw>>32))%(usable-1))%usable)
+	otherScore := other.score(now, s.typical)
+	if otherScore < score {
+		chosen, other, score, otherScore = other, chosen, otherScore, score
+	}
+	if w := chosen.weight(now, r.cfg.SlowStart); w < 1 && w < other.weight(now, r.cfg.SlowStart) && fraction(draw) >= w {
+		return other, otherScore
+	}
+	return chosen, score
+}
+
+// fraction returns a number in [0, 1) that is nearly independent of the bits of
+// draw that select the candidates. The constant is that of Fibonacci hashing.
+func fraction(draw uint64) float64 {
+	return float64(draw*0x9e3779b97f4a7c15>>11) / (1 << 53)
+}
+
+// nth returns the i-th candidate that isn't excluded.
+func nth(from []*stats, exclude []string, i int) *stats {
+	for _, st := range from {
+		if slices.Contains(exclude, st.Address) {
+			continue
+		}
+		if i == 0 {
+			return st
+		}
+		i--
+	}
+	return nil
+}
+
+// best returns the lowest score of the candidates that aren't excluded, of
+// which there must be one.
+func (r *Router) best(now time.Duration, s *service, from []*stats, exclude []string) float64 {
+	lowest := -1.0
+	for _, st := range from {
+		if slices.Contains(exclude, st.Address) {
+			continue
+		}
+		if score := st.score(now, s.typical); lowest < 0 || score < lowest {
+			lowest = score
+		}
+	}
+	return lowest
+}
+
+// Home returns the upstream that keeps a key. All nodes with the same list
+// choose the same one, so it doesn't depend on the node, on load or on leaving:
+// a leaving home still has the answers for its keys.
+func (r *Router) Home(name, key string) Decision {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	s, ok := r.services[name]
+	if !ok || len(s.known) == 0 {
+		return None{resolver.ReasonNoUpstream}
+	}
+	seed := xxhash.Sum64String(key)
+	var home *stats
+	var highest uint64
+	for _, st := range s.known {
+		h := rank(seed, st.Address)
+		if home == nil || h > highest || h == highest && st.Address < home.Address {
+			home, highest = st, h
+		}
+	}
+	return Chosen{Upstream: home.Upstream, Why: WhyHome}
+}
+
+// Start counts an attempt that is sent to an upstream. Finish must follow.
+func (r *Router) Start(_ time.Duration, name, address string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if st := r.find(name, address); st != nil {
+		st.inFlight++
+	}
+}
+
+// Finish learns from the end of an attempt.
+func (r *Router) Finish(now time.Duration, name, address string, res Result) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	st := r.find(name, address)
+	if st == nil {
+		return
+	}
+	st.finish(now, res)
+	if !res.Failed && !res.Refused {
+		s := r.services[name]
+		s.typical = mean(s.typical, res.Latency.Seconds())
+	}
+}
+
+// Subset returns the upstreams of a service that this node uses, the own domain
+// first.
+func (r *Router) Subset(name string) []Upstream {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var us []Upstream
+	if s, ok := r.services[name]; ok {
+		for _, st := range slices.Concat(s.local, s.remote) {
+			us = append(us, st.Upstream)
+		}
+	}
+	return us
+}
+
+func (r *Router) find(name, address string) *stats {
+	s, ok := r.services[name]
+	if !ok {
+		return nil
+	}
+	return s.known[address]
+}
+
+// rank is the rendezvous hash of a seed and an address.
+func rank(seed uint64, address string) uint64 {
+	var b [8]byte
+	binary.LittleEndian.PutUint64(b[:], seed)
+	d := xxhash.New()
+	_, _ = d.Write(b[:]) // Never fails.
+	_, _ = d.WriteString(address)
+	return d.Sum64()
+}
