--- a/crocusd/internal/forwarder/forwarder.go
+++ b/crocusd/internal/forwarder/forwarder.go
@@ -151,7 +151,7 @@
 	switch {
 	case p.q.Ticket != nil:
 		home := p.q.Ticket.Home
-		d = router.Chosen{Upstream: router.Upstream{Service: home.Service, Address: home.Address}, Why: "ticket"}
+		d = router.Chosen{Upstream: router.Upstream{Service: home.Service, Address: home.Address}, Why: router.WhyHome}
 	case p.q.Key != "" && !p.q.Kind.Idempotent:
 		d = p.f.router.Home(p.q.Service, p.q.Key)
 	default:
@@ -159,7 +159,7 @@
 	}
 	switch d := d.(type) {
 	case router.Chosen:
-		p.record(recorder.KindRoute, d.Upstream.Address, nil, resolver.ReasonNone, d.Why)
+		p.record(recorder.KindRoute, d.Upstream.Address, nil, resolver.ReasonNone, d.Why.String())
 		return d.Upstream, resolver.ReasonNone
 	case router.None:
 		p.record(recorder.KindRoute, "", nil, d.Reason, "no upstream")
--- a/crocusd/internal/runner/peers.go
+++ b/crocusd/internal/runner/peers.go
@@ -22,7 +22,9 @@
 func (n *Node) Opened(l *linker.Link) {
 	if l.Peer().GetDraining() {
 		n.peerLeaving(l)
+		return
 	}
+	n.router.ClearLeaving(n.clock.Now(), l.Address())
 }
 
 // Closed implements linker.Handler.
