crocusd: limits of the note in force, notice before a stop, tickets replaced

Cause: queue bounds and retry ratios of a note were not used; a stopping node closed its entry listener at once; a caller whose ticket's home was leaving got NotRun for every repeat. Ruled out: running a request under a new ticket without telling the caller (its repeat of the old ticket could then run a second time). Conclusion: 428 with a ticket of another upstream replaces a void ticket.

--- a/core/admitter/admitter.go
+++ b/core/admitter/admitter.go
@@ -221,6 +221,13 @@
 	a.limiter.setSlots(now, a.cfg.Slots)
 }
 
+// SetQueue changes the bounds of the queue when a new note is in force; 0 takes
+// the default. Requests that wait already are held to the new bounds.
+func (a *Admitter) SetQueue(queueTime time.Duration, length int) {
+	a.cfg.QueueTime, a.cfg.QueueLength, a.cfg.Target = queueTime, length, 0
+	a.cfg = a.cfg.withDefaults()
+}
+
 // Restart begins the ramp again, for a backend server that was restarted.
 func (a *Admitter) Restart(now time.Duration) {
 	a.limiter.restart(now)
--- a/crocusd/internal/forwarder/forwarder.go
+++ b/crocusd/internal/forwarder/forwarder.go
@@ -12,6 +12,7 @@
 	"crocustack/core/gatekeeper"
 	"crocustack/core/linker"
 	"crocustack/core/recorder"
+	"crocustack/core/releaser"
 	"crocustack/core/resolver"
 	"crocustack/core/router"
 	"crocustack/core/timekeeper"
@@ -26,9 +27,6 @@
 	PassThrough bool
 	// VoidTimeout bounds the question about a try whose link was lost.
 	VoidTimeout time.Duration
-	// RetryRatio is the share of retries for a service that the release does
-	// not name one for.
-	RetryRatio float64
 }
 
 // ratioBurst lets a service with little traffic retry at all.
@@ -48,8 +46,14 @@
 	minter *minter
 
 	mu sync.Mutex
-	// ratios holds the retry budget of each service that was called.
-	ratios map[string]*budgeter.Ratio
+	// ratios holds the retry budget of each service in the release. A budget
+	// is kept while its share stays the same.
+	ratios map[string]serviceRatio
+}
+
+type serviceRatio struct {
+	share float64
+	ratio *budgeter.Ratio
 }
 
 // New returns a forwarder for the sender incarnation boot.
@@ -58,22 +62,38 @@
 ) *Forwarder {
 	return &Forwarder{
 		cfg: cfg, boot: boot, clock: clock, links: links, router: r, levels: levels, calls: calls, rec: rec,
-		seq: gatekeeper.NewSequencer(), minter: newMinter(), ratios: make(map[string]*budgeter.Ratio),
+		seq: gatekeeper.NewSequencer(), minter: newMinter(), ratios: make(map[string]serviceRatio),
 	}
 }
 
 // Leaving drops what is kept for an upstream that takes no new work.
 func (f *Forwarder) Leaving(address string) { f.minter.drop(address) }
 
+// SetServices takes over the retry ratios of a new release.
+func (f *Forwarder) SetServices(services map[string]releaser.Service) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for name := range f.ratios {
+		if _, ok := services[name]; !ok {
+			delete(f.ratios, name)
+		}
+	}
+	for name, s := range services {
+		if old, ok := f.ratios[name]; !ok || old.share != s.RetryRatio {
+			f.ratios[name] = serviceRatio{share: s.RetryRatio, ratio: budgeter.NewRatio(s.RetryRatio, ratioBurst)}
+		}
+	}
+}
+
+// ratio returns the retry budget of a service; a service that was withdrawn
+// meanwhile gets no retries.
 func (f *Forwarder) ratio(service string) *budgeter.Ratio {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	r, ok := f.ratios[service]
-	if !ok {
-		r = budgeter.NewRatio(f.cfg.RetryRatio, ratioBurst)
-		f.ratios[service] = r
+	if r, ok := f.ratios[service]; ok {
+		return r.ratio
 	}
-	return r
+	return budgeter.NewRatio(0, 0)
 }
 
 // Forward sends a request until its outcome is known or no further try is
--- a/crocusd/internal/forwarder/request.go
+++ b/crocusd/internal/forwarder/request.go
@@ -57,6 +57,4 @@
 	Upstream string
 	// Tries is the number of tries that were sent.
 	Tries int
-	// Ticket is set with reason TicketRequired.
-	Ticket *gatekeeper.Ticket
 }
--- a/crocusd/internal/handler/admission.go
+++ b/crocusd/internal/handler/admission.go
@@ -83,10 +83,11 @@
 	return s.a.Load()
 }
 
-func (s *admission) setSlots(n int) {
+func (s *admission) setLimits(slots int, queueTime time.Duration, queueLength int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.a.SetSlots(s.clock.Now(), n)
+	s.a.SetSlots(s.clock.Now(), slots)
+	s.a.SetQueue(queueTime, queueLength)
 }
 
 // run lets time pass for queued requests until ctx ends.
--- a/crocusd/internal/handler/handler.go
+++ b/crocusd/internal/handler/handler.go
@@ -109,8 +109,11 @@
 // Active is the number of requests that have arrived and are not yet answered.
 func (h *Handler) Active() int64 { return h.active.Load() }
 
-// SetSlots changes the bound on concurrent requests at the backend server.
-func (h *Handler) SetSlots(n int) { h.adm.setSlots(n) }
+// SetLimits changes the bound on concurrent requests at the backend server and
+// the bounds of the queue in front of it.
+func (h *Handler) SetLimits(slots int, queueTime time.Duration, queueLength int) {
+	h.adm.setLimits(slots, queueTime, queueLength)
+}
 
 // Load returns the load of the gate for the admin API.
 func (h *Handler) Load() admitter.Load { return h.adm.load() }
--- a/crocusd/internal/runner/runner.go
+++ b/crocusd/internal/runner/runner.go
@@ -38,6 +38,17 @@
 // voidTimeout bounds the question about a try whose link was lost.
 const voidTimeout = 2 * time.Second
 
+const (
+	// leaveNotice is how long a leaving node still answers callers, with
+	// Draining and "Connection: close". Closing the listener at once would
+	// reset requests that callers just sent on kept-alive connections.
+	leaveNotice = time.Second
+	// linkLinger lets peers read the last answers before the links close: a
+	// TCP connection closed with unread input is reset, and the peer then
+	// loses what it has not read.
+	linkLinger = 200 * time.Millisecond
+)
+
 // Node is a running node.
 type Node struct {
 	cfg     configurer.Settings
@@ -117,9 +128,14 @@
 // apply puts a new snapshot in force.
 func (n *Node) apply(s *snapshot) {
 	now := n.clock.Now()
-	if svc, ok := s.view.Services[n.self.Service]; ok && n.cfg.Backend.SlotsHint == 0 {
-		n.handler.SetSlots(svc.Slots)
+	if svc, ok := s.view.Services[n.self.Service]; ok {
+		slots := svc.Slots
+		if n.cfg.Backend.SlotsHint > 0 {
+			slots = n.cfg.Backend.SlotsHint
+		}
+		n.handler.SetLimits(slots, svc.QueueTime, svc.QueueLength)
 	}
+	n.forward.SetServices(s.view.Services)
 	for name := range s.view.Services {
 		var us []router.Upstream
 		for _, i := range s.table.Service(name) {
@@ -201,6 +217,8 @@
 	n.log.Info("drain begins", "Timeout", n.cfg.DrainTimeout.String())
 	ctx, cancel := context.WithTimeout(context.Background(), n.cfg.DrainTimeout)
 	defer cancel()
+	n.server.Leave()
+	sleep(ctx, leaveNotice)
 	if err := entry.Shutdown(ctx); err != nil {
 		n.log.Error(err, "entry requests cut off by the drain timeout", "Active", n.server.Active())
 	}
@@ -208,9 +226,20 @@
 		n.log.Error(err, "runs cut off by the drain timeout", "Active", n.handler.Active())
 	}
 	_ = outbound.Shutdown(ctx)
+	sleep(ctx, linkLinger)
 	n.log.Info("drain ended")
 }
 
+// sleep waits for d or until ctx ends.
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
+
 // waitForRuns returns when no request is at the gate.
 func (n *Node) waitForRuns(ctx context.Context) error {
 	ticker := time.NewTicker(10 * time.Millisecond)
--- a/crocusd/internal/server/server.go
+++ b/crocusd/internal/server/server.go
@@ -48,6 +48,7 @@
 	rec     *recorder.Recorder
 	buffer  *semaphore.Weighted
 	active  atomic.Int64
+	leaving atomic.Bool
 }
 
 // New returns a server that reads the release in force through view.
@@ -55,6 +56,10 @@
 	return &Server{cfg: cfg, view: view, ready: ready, forward: f, runs: runs, rec: rec, buffer: semaphore.NewWeighted(cfg.BufferBytes)}
 }
 
+// Leave refuses new requests of callers from now on. Calls of the backend
+// server go on, because they belong to requests in flight.
+func (v *Server) Leave() { v.leaving.Store(true) }
+
 // Active is the number of requests in flight at both listeners.
 func (v *Server) Active() int64 { return v.active.Load() }
 
@@ -100,7 +105,7 @@
 		}
 		sink := &responseSink{w: w}
 		result := v.forward.Forward(r.Context(), q, sink)
-		v.answer(w, q, sink, result, start)
+		v.answer(w, r, q, sink, result, start)
 	}
 }
 
@@ -214,6 +219,9 @@
 
 // fromCaller starts a new call tree.
 func (v *Server) fromCaller(_ *http.Request, q *forwarder.Request) resolver.Reason {
+	if v.leaving.Load() {
+		return resolver.ReasonDraining
+	}
 	q.TreeID = xxhash.Sum64String(q.ID)
 	if q.Kind.Ticket == classifier.TicketRuleRequired && q.Ticket == nil {
 		return resolver.ReasonTicketRequired
@@ -254,26 +262,51 @@
 // refuse answers a request that its origin refused. A missing ticket is
 // answered with one.
 func (v *Server) refuse(w http.ResponseWriter, r *http.Request, q forwarder.Request, reason resolver.Reason, start time.Time) {
+	if reason == resolver.ReasonDraining {
+		w.Header().Set("Connection", "close")
+	}
 	if reason == resolver.ReasonTicketRequired {
-		tickets, _, err := v.forward.Tickets(r.Context(), q.Service, q.Kind.Name, 1)
-		if err != nil || len(tickets) == 0 {
+		if !v.replaceTicket(w, r, q) {
 			v.answerNotRun(w, q, resolver.ReasonNoUpstream, "no upstream could mint a ticket", start)
 			return
 		}
-		setTicket(w, tickets[0])
 	}
-	v.answerNotRun(w, q, reason, "send the request again with the ticket of this answer", start)
+	v.answerNotRun(w, q, reason, refusals[reason], start)
+}
+
+// refusals says what a caller should do about a refusal by the origin.
+var refusals = map[resolver.Reason]string{
+	resolver.ReasonTicketRequired: "send the request again with the ticket of this answer",
+	resolver.ReasonDraining:       "this node is leaving; send the request to another one",
+}
+
+// endsTicket tells whether a refusal for the reason makes an unused ticket void.
+func endsTicket(reason resolver.Reason) bool {
+	return reason == resolver.ReasonDraining || reason == resolver.ReasonTicketExpired
 }
 
-func (v *Server) answer(w http.ResponseWriter, q forwarder.Request, sink *responseSink, result forwarder.Result, start time.Time) {
+// replaceTicket gives the caller a ticket that it can use. The request
+// itself is not run under the new ticket before the caller has it: a caller
+// that misses this answer repeats the old ticket.
+func (v *Server) replaceTicket(w http.ResponseWriter, r *http.Request, q forwarder.Request) bool {
+	tickets, _, err := v.forward.Tickets(r.Context(), q.Service, q.Kind.Name, 1)
+	if err != nil || len(tickets) == 0 {
+		return false
+	}
+	setTicket(w, tickets[0])
+	return true
+}
+
+func (v *Server) answer(w http.ResponseWriter, r *http.Request, q forwarder.Request, sink *responseSink, result forwarder.Result, start time.Time) {
 	switch o := result.Outcome.(type) {
 	case resolver.Ran:
 		v.record(q, result.Upstream, o, "", start)
 	case resolver.NotRun:
-		if result.Ticket != nil {
-			setTicket(w, *result.Ticket)
-		}
 		v.record(q, result.Upstream, o, "", start)
+		if q.Ticket != nil && endsTicket(o.Reason) && v.replaceTicket(w, r, q) {
+			writeOutcome(w, http.StatusPreconditionRequired, "NotRun", o.Reason, "the ticket is void; send the request again with the ticket of this answer")
+			return
+		}
 		writeNotRun(w, o.Reason, "")
 	case resolver.Unknown:
 		v.record(q, result.Upstream, o, "", start)
