synchronizer: run watcher and spreader over links and the platform

Ruled out: sending a newcomer's whole catalogue on to its control peers (five copies of 200 KB for each restart; a digest announces it instead); storing Leaving in the table (it would have to be ordered against stale lists).

Before: no package. An outdated record is now answered with the newer one (watcher.Table.Newer).

Conclusion: nodes that reach each other end in the same state; no stamp goes down on a node. WithList of watcher now joins in a fixed order, so that runs with one seed repeat.

--- a/core/watcher/table.go
+++ b/core/watcher/table.go
@@ -158,6 +158,7 @@
 			joined = append(joined, i)
 		}
 	}
+	sortByAddress(joined)
 	out, changed := t.With(now, joined...)
 	out = out.clone()
 	out.versions[domain] = version
@@ -210,6 +211,16 @@
 	return out
 }
 
+// Newer returns the held record that supersedes another one and differs from
+// it in more than the version.
+func (t Table) Newer(i Instance) (Instance, bool) {
+	r, ok := t.records[i.key()]
+	if !ok || r.sameContent(i) || cmp.Or(cmp.Compare(r.Version, i.Version), cmp.Compare(r.State, i.State)) <= 0 {
+		return Instance{}, false
+	}
+	return r.Instance, true
+}
+
 // Cells returns the digest of each cell that another scope holds too. Equal
 // cells hold equal live and leaving records.
 func (t Table) Cells(other Scope) map[Cell]uint64 {
--- a/core/watcher/watcher_test.go
+++ b/core/watcher/watcher_test.go
@@ -89,6 +89,12 @@
 	if _, changed := gossip.WithList(0, "x", 6, []Instance{one, two}); len(changed) != 0 {
 		t.Errorf("a list older than a record of its domain changed %v", changed)
 	}
+	if gone, ok := table.Newer(one); !ok || gone.State != StateGone {
+		t.Errorf("an outdated record has no answer: %v", gone)
+	}
+	if _, ok := table.Newer(two); ok {
+		t.Error("an equal record is answered")
+	}
 	if table.Expire(GoneRetention-1).Len() != 2 {
 		t.Error("removed early")
 	}
--- /dev/null
+++ b/crocusd/internal/synchronizer/engine_test.go
@@ -0,0 +1,289 @@
+package synchronizer
+
+import (
+	"encoding/json"
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+
+	"crocustack/core/encoder"
+	"crocustack/core/releaser"
+	"crocustack/core/watcher"
+)
+
+// fleet runs engines in virtual time over a network that delays, reorders and
+// loses messages and can be cut between domains.
+type fleet struct {
+	t       *rapid.T
+	random  *rand.Rand
+	now     time.Duration
+	nodes   []*node
+	links   map[[2]int]bool
+	flying  []flight
+	loss    float64
+	group   map[string]int // Domains in different groups can't reach each other.
+	keys    map[string][]watcher.Value
+	stale   map[string]int // How many versions behind a domain reads.
+	down    map[string]bool
+	started uint64
+}
+
+type node struct {
+	engine *engine
+	reads  []watcher.Read
+	until  map[string]time.Duration
+	stamps map[string]releaser.Stamp
+}
+
+type flight struct {
+	at       time.Duration
+	from, to int
+	m        *encoder.Control
+}
+
+const perDomain = 3
+
+var domains = []string{"d0", "d1", "d2"}
+
+func newFleet(t *rapid.T) *fleet {
+	f := &fleet{
+		t: t, random: rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 0)), links: make(map[[2]int]bool),
+		group: make(map[string]int), keys: make(map[string][]watcher.Value), stale: make(map[string]int), down: make(map[string]bool),
+	}
+	for k, d := range domains {
+		f.list(k, func(int) bool { return true })
+		f.group[d] = 0
+	}
+	for k := range perDomain * len(domains) {
+		f.nodes = append(f.nodes, nil)
+		f.restart(k)
+	}
+	return f
+}
+
+func address(k int) string { return fmt.Sprintf("10.0.0.%d:7", k) }
+
+// list publishes the instances of a domain that keep accepts.
+func (f *fleet) list(domain int, keep func(member int) bool) {
+	list := []map[string]string{}
+	for m := range perDomain {
+		if keep(m) {
+			list = append(list, map[string]string{"Service": fmt.Sprint("s", m%2), "Address": address(domain*perDomain + m), "Domain": domains[domain], "Region": "r", "State": "Live"})
+		}
+	}
+	b, _ := json.Marshal(list)
+	f.put(watcher.InstancesPrefix+domains[domain], b)
+}
+
+func (f *fleet) put(key string, b []byte) {
+	f.keys[key] = append(f.keys[key], watcher.Value{Bytes: b, Version: uint64(len(f.keys[key]) + 1)})
+}
+
+func (f *fleet) restart(k int) {
+	f.started++
+	for _, pair := range f.pairs() {
+		if pair[0] == k || pair[1] == k {
+			f.unlink(pair)
+		}
+	}
+	f.flying = slices.DeleteFunc(f.flying, func(x flight) bool { return x.to == k || x.from == k })
+	cfg := Config{Service: fmt.Sprint("s", k%perDomain%2), Address: address(k), Domain: domains[k/perDomain], Seed: f.started, Log: logr.Discard()}
+	cfg.Planner.FleetSize = 1000
+	f.nodes[k] = &node{engine: newEngine(cfg, f.now), until: make(map[string]time.Duration), stamps: make(map[string]releaser.Stamp)}
+}
+
+func (f *fleet) pairs() [][2]int {
+	return slices.SortedFunc(maps.Keys(f.links), func(a, b [2]int) int { return slices.Compare(a[:], b[:]) })
+}
+
+func (f *fleet) unlink(pair [2]int) {
+	delete(f.links, pair)
+	f.nodes[pair[0]].engine.closed(address(pair[1]))
+	f.nodes[pair[1]].engine.closed(address(pair[0]))
+}
+
+func (f *fleet) reachable(a, b int) bool {
+	return f.group[domains[a/perDomain]] == f.group[domains[b/perDomain]]
+}
+
+func (f *fleet) cut(groups []int) {
+	for k, d := range domains {
+		f.group[d] = groups[k]
+	}
+	for _, pair := range f.pairs() {
+		if !f.reachable(pair[0], pair[1]) {
+			f.unlink(pair)
+		}
+	}
+	f.flying = slices.DeleteFunc(f.flying, func(x flight) bool { return !f.reachable(x.from, x.to) })
+}
+
+func (f *fleet) send(k int) {
+	for _, o := range f.nodes[k].engine.drain() {
+		var to int
+		if _, err := fmt.Sscanf(o.address, "10.0.0.%d:7", &to); err != nil || !f.reachable(k, to) {
+			f.nodes[k].engine.failed(f.now, o.address)
+			continue
+		}
+		if pair := [2]int{min(k, to), max(k, to)}; !f.links[pair] {
+			f.links[pair] = true
+			for _, p := range [][2]int{{k, to}, {to, k}} {
+				e := f.nodes[p[1]].engine
+				f.nodes[p[0]].engine.opened(f.now, &encoder.Hello{
+					Incarnation: &encoder.Incarnation{Address: address(p[1])}, Domain: e.cfg.Domain, CatalogueDigest: e.catalogue.Digest(), Interest: interestOf(e.table.Scope()),
+				})
+			}
+		}
+		if f.random.Float64() >= f.loss {
+			f.flying = append(f.flying, flight{f.now + time.Duration(f.random.IntN(30))*time.Millisecond, k, to, o.message})
+		}
+	}
+}
+
+func (f *fleet) read(n *node, r watcher.Read) bool {
+	domain := n.engine.cfg.Domain
+	if f.down[domain] {
+		n.engine.done(f.now, r.Key, watcher.ResultFailed, watcher.Value{})
+		return true
+	}
+	vs := f.keys[r.Key]
+	vs = vs[:max(len(vs)-f.stale[domain], min(len(vs), 1))]
+	switch {
+	case len(vs) == 0:
+		n.engine.done(f.now, r.Key, watcher.ResultMissing, watcher.Value{})
+	case vs[len(vs)-1].Version > r.After:
+		n.engine.done(f.now, r.Key, watcher.ResultValue, vs[len(vs)-1])
+	case f.now >= n.until[r.Key]:
+		n.engine.done(f.now, r.Key, watcher.ResultUnchanged, watcher.Value{})
+	default:
+		return false
+	}
+	return true
+}
+
+// run advances virtual time and checks after each step that no stamp goes down.
+func (f *fleet) run(d time.Duration) {
+	for end := f.now + d; f.now < end; f.now += 100 * time.Millisecond {
+		for k, n := range f.nodes {
+			n.reads = slices.DeleteFunc(n.reads, func(r watcher.Read) bool { return f.read(n, r) })
+			for _, r := range n.engine.tick(f.now) {
+				n.until[r.Key] = f.now + r.Wait
+				n.reads = append(n.reads, r)
+			}
+			n.engine.changed = false
+			f.send(k)
+		}
+		due := f.flying
+		f.flying = nil
+		f.random.Shuffle(len(due), func(i, j int) { due[i], due[j] = due[j], due[i] })
+		for _, x := range due {
+			if x.at > f.now {
+				f.flying = append(f.flying, x)
+				continue
+			}
+			f.nodes[x.to].engine.receive(f.now, address(x.from), x.m)
+			f.send(x.to)
+		}
+		for k, n := range f.nodes {
+			for _, i := range n.engine.catalogue.Items() {
+				if old, ok := n.stamps[i.Name]; ok && i.Stamp.Compare(old) < 0 {
+					f.t.Fatalf("node %d: stamp of %s went down from %v to %v", k, i.Name, old, i.Stamp)
+				}
+				n.stamps[i.Name] = i.Stamp
+			}
+		}
+	}
+}
+
+// check compares all nodes of each group and returns the first difference.
+func (f *fleet) check() string {
+	for k, n := range f.nodes {
+		for j, m := range f.nodes[:k] {
+			if !f.reachable(j, k) {
+				continue
+			}
+			if d := cmp.Diff(m.engine.catalogue.Items(), n.engine.catalogue.Items()); d != "" {
+				return fmt.Sprintf("nodes %d and %d hold different catalogues:\n%s", j, k, d)
+			}
+			a, b := m.engine.table, n.engine.table
+			if a.Digest(b.Scope()) != b.Digest(a.Scope()) {
+				return fmt.Sprintf("nodes %d and %d hold different instances: %v, %v", j, k, a.Cells(b.Scope()), b.Cells(a.Scope()))
+			}
+		}
+		if !n.engine.ready {
+			return fmt.Sprintf("node %d never became ready", k)
+		}
+	}
+	return ""
+}
+
+// TestConvergence guards against nodes that stay apart after losses, cuts,
+// restarts, concurrent or overwritten notes, gaps and a stale platform.
+func TestConvergence(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := newFleet(t)
+		f.loss = rapid.SampledFrom([]float64{0, 0.2, 0.6}).Draw(t, "loss")
+		known := releaser.Catalogue{}
+		number := uint64(1)
+		publish := func(number uint64) {
+			n := releaser.Note{Number: number, Withdrawn: releaser.Withdrawal{Kinds: []string{"k0"}}}
+			if number > 1 {
+				n.Predecessor = releaser.Predecessor{Number: number - 1, Digest: rapid.Uint64Range(1, 2).Draw(t, "predecessor")}
+			}
+			if rapid.Bool().Draw(t, "adds") {
+				n.Withdrawn.Kinds = nil
+				n.Added.Services = []releaser.Service{{Name: "s0", Slots: rapid.IntRange(1, 9).Draw(t, "slots"), Connections: 1, QueueTime: time.Millisecond, Calls: []string{"s1"}}}
+			}
+			for _, d := range domains {
+				n.Added.Domains = append(n.Added.Domains, releaser.Domain{Name: d, Region: "r"})
+			}
+			c := known
+			if rapid.Bool().Draw(t, "gap") {
+				c = releaser.Catalogue{} // Rendered from an empty catalogue.
+			} else {
+				known, _ = known.With(n.Items()...)
+			}
+			f.put(watcher.ReleaseKey, releaser.Document(n, c))
+		}
+		publish(1)
+		for range rapid.IntRange(1, 10).Draw(t, "steps") {
+			switch rapid.IntRange(0, 7).Draw(t, "event") {
+			case 0, 1:
+				number++
+				publish(number)
+			case 2:
+				publish(number) // Overwrites or competes with the last one.
+			case 3:
+				f.cut(rapid.SliceOfN(rapid.IntRange(0, 1), len(domains), len(domains)).Draw(t, "groups"))
+			case 4:
+				f.restart(rapid.IntRange(0, len(f.nodes)-1).Draw(t, "restarted"))
+			case 5:
+				d := rapid.SampledFrom(domains).Draw(t, "domain")
+				f.stale[d], f.down[d] = rapid.IntRange(0, 2).Draw(t, "behind"), rapid.Bool().Draw(t, "down")
+			case 6:
+				gone := rapid.IntRange(0, perDomain).Draw(t, "gone")
+				f.list(rapid.IntRange(0, len(domains)-1).Draw(t, "list"), func(m int) bool { return m != gone })
+			case 7:
+				f.restart(0)
+				f.restart(1)
+				f.restart(2)
+			}
+			f.run(time.Duration(rapid.IntRange(0, 80).Draw(t, "wait")) * 100 * time.Millisecond)
+		}
+		f.loss = 0
+		clear(f.down)
+		for k := 0; f.check() != ""; k++ {
+			if k == 30 {
+				t.Fatal(f.check())
+			}
+			f.run(2 * time.Second)
+		}
+	})
+}
--- /dev/null
+++ b/crocusd/internal/synchronizer/synchronizer.go
@@ -0,0 +1,286 @@
+package synchronizer
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-logr/logr"
+	"golang.org/x/sync/errgroup"
+
+	"crocustack/core/encoder"
+	"crocustack/core/releaser"
+	"crocustack/core/spreader"
+	"crocustack/core/watcher"
+)
+
+// Network sends control messages to other nodes. Its owner calls Opened,
+// Closed and Received of the Synchronizer.
+type Network interface {
+	// Send sends a message to a link address and dials when there is no link.
+	// It may block until the link is open or has failed.
+	Send(address string, m *encoder.Control) error
+	// Peers returns the handshakes of the open links.
+	Peers() []*encoder.Hello
+}
+
+// Platform reads keys; *watcher.Client implements it.
+type Platform interface {
+	Get(ctx context.Context, r watcher.Read) (watcher.Value, watcher.Result, error)
+}
+
+// Config describes the node and its limits.
+type Config struct {
+	Service, Address, Domain, Region string
+	// Interest names further services whose instances the node needs; the own
+	// service and the services that it calls are always included.
+	Interest []string
+	// Seeds holds link addresses of peers to ask while the list of the own
+	// domain is unknown. Optional.
+	Seeds []string
+	// Tick is the resolution of timers; 0 means 100 ms.
+	Tick time.Duration
+	// Seed seeds the random choices of this node.
+	Seed     uint64
+	Planner  watcher.PlannerConfig
+	Spreader spreader.Config
+	// OnChange is called after each new snapshot, never concurrently. Calls
+	// may skip intermediate snapshots.
+	OnChange func(Snapshot)
+	// OnLeaving is called when a peer announces that it is leaving.
+	OnLeaving func(address string)
+	Log       logr.Logger
+}
+
+// Snapshot is the state of a node at one time. It is immutable.
+type Snapshot struct {
+	View      releaser.View
+	Catalogue releaser.Catalogue
+	Table     watcher.Table
+	// Ready is true once the node has merged what its peers and the platform
+	// offer.
+	Ready bool
+	// Reader is true when the node reads the platform for its domain.
+	Reader bool
+	// Since is the time of the last change of the catalogue.
+	Since time.Duration
+}
+
+const (
+	// senders is the number of messages sent concurrently. A dial to a dead
+	// peer blocks one sender until it fails.
+	senders = 4
+	// queueLength bounds the messages that wait for a sender. Messages beyond
+	// it are dropped; the comparison of digests repairs the loss.
+	queueLength = 1024
+)
+
+// Synchronizer runs the watcher and the spreader of one node. It is safe for
+// concurrent use.
+type Synchronizer struct {
+	cfg      Config
+	network  Network
+	platform Platform
+	start    time.Time
+	snapshot atomic.Pointer[Snapshot]
+	dropped  atomic.Uint64
+	reads    atomic.Uint64
+	queue    chan outgoing
+	readings chan watcher.Read
+	// notify has capacity 1; a pending element stands for any number of
+	// changes.
+	notify chan struct{}
+
+	mu     sync.Mutex
+	engine *engine
+}
+
+// New returns a synchronizer that does nothing until Run is called. platform
+// may be nil.
+func New(cfg Config, network Network, platform Platform) *Synchronizer {
+	if cfg.Tick == 0 {
+		cfg.Tick = 100 * time.Millisecond
+	}
+	if cfg.Log.GetSink() == nil {
+		cfg.Log = logr.Discard()
+	}
+	s := &Synchronizer{
+		cfg: cfg, network: network, platform: platform, start: time.Now(),
+		queue: make(chan outgoing, queueLength), readings: make(chan watcher.Read, 64), notify: make(chan struct{}, 1),
+	}
+	s.engine = newEngine(cfg, 0)
+	s.engine.want(0, cfg.Interest)
+	s.publish()
+	return s
+}
+
+// Snapshot returns the current state. It takes no lock.
+func (s *Synchronizer) Snapshot() Snapshot { return *s.snapshot.Load() }
+
+// Dropped returns the number of messages dropped because the queue was full.
+func (s *Synchronizer) Dropped() uint64 { return s.dropped.Load() }
+
+// Reads returns the number of platform reads started.
+func (s *Synchronizer) Reads() uint64 { return s.reads.Load() }
+
+// Hello fills in the part of the handshake that this package owns.
+func (s *Synchronizer) Hello() *encoder.Hello {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	number, _ := s.engine.catalogue.Number()
+	return &encoder.Hello{
+		Incarnation: &encoder.Incarnation{Service: s.cfg.Service, Address: s.cfg.Address},
+		Domain:      s.cfg.Domain, Region: s.cfg.Region, CatalogueDigest: s.engine.catalogue.Digest(),
+		NoteNumber: number, Interest: interestOf(s.engine.table.Scope()),
+	}
+}
+
+// Want adds services whose instances the node needs, such as one that a
+// request named and the release does not list as called.
+func (s *Synchronizer) Want(services ...string) {
+	s.with(func(now time.Duration) { s.engine.want(now, services) })
+}
+
+// Received handles a control message from a peer.
+func (s *Synchronizer) Received(from string, m *encoder.Control) {
+	if m.GetLeaving() != nil {
+		if s.cfg.OnLeaving != nil {
+			s.cfg.OnLeaving(from)
+		}
+		return
+	}
+	s.with(func(now time.Duration) { s.engine.receive(now, from, m) })
+}
+
+// Opened tells that a link to a peer is open.
+func (s *Synchronizer) Opened(h *encoder.Hello) {
+	s.with(func(now time.Duration) { s.engine.opened(now, h) })
+}
+
+// Closed tells that the link to a peer is closed.
+func (s *Synchronizer) Closed(address string) {
+	s.with(func(time.Duration) { s.engine.closed(address) })
+}
+
+// Run works until the context is done.
+func (s *Synchronizer) Run(ctx context.Context) error {
+	for _, h := range s.network.Peers() {
+		s.Opened(h)
+	}
+	g, ctx := errgroup.WithContext(ctx)
+	for range senders {
+		g.Go(func() error { return s.sendAll(ctx) })
+	}
+	g.Go(func() error { return s.readAll(ctx) })
+	g.Go(func() error { return s.notifyAll(ctx) })
+	g.Go(func() error {
+		t := time.NewTicker(s.cfg.Tick)
+		defer t.Stop()
+		for {
+			select {
+			case <-ctx.Done():
+				return ctx.Err()
+			case <-t.C:
+				s.tick()
+			}
+		}
+	})
+	return g.Wait()
+}
+
+func (s *Synchronizer) tick() {
+	s.with(func(now time.Duration) {
+		for _, r := range s.engine.tick(now) {
+			s.reads.Add(1)
+			select {
+			case s.readings <- r:
+			default:
+				s.engine.planner.Done(now, r.Key, watcher.ResultFailed, 0, 0)
+			}
+		}
+	})
+}
+
+// with runs f under the lock, publishes the result and queues the messages.
+func (s *Synchronizer) with(f func(now time.Duration)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	f(time.Since(s.start))
+	for _, o := range s.engine.drain() {
+		select {
+		case s.queue <- o:
+		default:
+			s.dropped.Add(1)
+		}
+	}
+	s.publish()
+}
+
+func (s *Synchronizer) publish() {
+	e := s.engine
+	if !e.changed {
+		return
+	}
+	e.changed = false
+	s.snapshot.Store(&Snapshot{View: e.view, Catalogue: e.catalogue, Table: e.table, Ready: e.ready, Reader: e.reader, Since: e.since})
+	select {
+	case s.notify <- struct{}{}:
+	default:
+	}
+}
+
+func (s *Synchronizer) sendAll(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case o := <-s.queue:
+			if err := s.network.Send(o.address, o.message); err != nil {
+				s.cfg.Log.V(1).Info("control message not sent", "Peer", o.address, "Error", err.Error())
+				s.with(func(now time.Duration) { s.engine.failed(now, o.address) })
+			}
+		}
+	}
+}
+
+func (s *Synchronizer) notifyAll(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-s.notify:
+			if s.cfg.OnChange != nil {
+				s.cfg.OnChange(s.Snapshot())
+			}
+		}
+	}
+}
+
+func (s *Synchronizer) readAll(ctx context.Context) error {
+	g, ctx := errgroup.WithContext(ctx)
+	for {
+		select {
+		case <-ctx.Done():
+			_ = g.Wait()
+			return ctx.Err()
+		case r := <-s.readings:
+			g.Go(func() error {
+				s.read(ctx, r)
+				return nil
+			})
+		}
+	}
+}
+
+func (s *Synchronizer) read(ctx context.Context, r watcher.Read) {
+	var v watcher.Value
+	result := watcher.ResultFailed
+	if s.platform != nil {
+		var err error
+		if v, result, err = s.platform.Get(ctx, r); err != nil {
+			s.cfg.Log.V(1).Info("platform read failed", "Key", r.Key, "Error", err.Error())
+		}
+	}
+	s.with(func(now time.Duration) { s.engine.done(now, r.Key, result, v) })
+}
