experimenter: ports are held until the node starts, longer warm-up

The level before the trigger was taken while nodes were ramping up. A start failure named a directory that was removed. Ruled out: repeating the whole start: it would hide other reasons. Conclusion: warm-up is 6 s, twice the ramp.

--- a/crocusfake/internal/experimenter/demo.go
+++ b/crocusfake/internal/experimenter/demo.go
@@ -48,6 +48,9 @@
 }
 
 const (
+	// warmUp is twice the ramp of the admission limit after a cold start, so
+	// that the level before the trigger is not one of the ramp.
+	warmUp  = 6 * time.Second
 	spread  = 0.1
 	backoff = 20 * time.Millisecond
 )
@@ -62,7 +65,7 @@
 	full := capacity(cfg.PerService)
 	base, surge := cfg.Base*full, cfg.Surge*full
 	phases := []phase{
-		{"warm-up", base, 0, 1, 3 * time.Second},
+		{"warm-up", base, 0, 1, warmUp},
 		{"before", base, 0, 1, 6 * time.Second},
 		{"slow", base, 0, cfg.Slow, 4 * time.Second},
 		{"slow+surge+retries", surge, cfg.Retries, cfg.Slow, 8 * time.Second},
--- a/crocusfake/internal/experimenter/faults.go
+++ b/crocusfake/internal/experimenter/faults.go
@@ -97,10 +97,19 @@
 	},
 }
 
+// relaunch starts a killed node with the same addresses. Another socket of this
+// machine may hold one of them for a moment, so a node that ends at once is
+// started again, as a supervisor does. The final wait reports a missing node.
 func (f *fleet) relaunch(m *member) {
-	if err := f.launch(m); err != nil {
-		// The final wait for readiness reports the missing node.
-		return
+	for range 10 {
+		if f.launch(m) != nil {
+			return
+		}
+		select {
+		case <-m.running().done:
+		case <-time.After(500 * time.Millisecond):
+			return
+		}
 	}
 }
 
--- a/crocusfake/internal/experimenter/fleet.go
+++ b/crocusfake/internal/experimenter/fleet.go
@@ -5,10 +5,12 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"net"
 	"net/http"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -122,7 +124,7 @@
 		admin:      &http.Client{Timeout: 2 * time.Second},
 	}
 	if err := f.start(ctx); err != nil {
-		f.close(false)
+		f.close(true)
 		return nil, errors.Wrapf(err, "start fleet (node logs in %s)", dir)
 	}
 	return f, nil
@@ -144,15 +146,13 @@
 			return err
 		}
 	}
-	addresses, err := ports(5 * len(f.cfg.mesh) * f.cfg.perService)
-	if err != nil {
-		return err
-	}
+	var reserved reservation
+	defer func() { reserved.release(slices.Collect(maps.Keys(reserved.listeners))...) }()
 	var instances []publisher.Instance
 	for i, s := range f.cfg.mesh {
 		for j := range f.cfg.perService {
 			n := i*f.cfg.perService + j
-			m, err := f.newMember(s, n, f.cfg.domains[j%len(f.cfg.domains)], addresses[5*n:5*n+5])
+			m, err := f.newMember(s, n, f.cfg.domains[j%len(f.cfg.domains)], &reserved)
 			if err != nil {
 				return err
 			}
@@ -164,6 +164,8 @@
 		return err
 	}
 	for _, m := range f.members {
+		n := m.settings.Node
+		reserved.release(n.Link, n.Listen, n.Entry, n.Outbound, n.Admin)
 		if err := f.launch(m); err != nil {
 			return err
 		}
@@ -171,10 +173,18 @@
 	return f.waitReady(ctx, f.members, 1)
 }
 
-func (f *fleet) newMember(s service, n int, domain string, addresses []string) (*member, error) {
+func (f *fleet) newMember(s service, n int, domain string, reserved *reservation) (*member, error) {
 	m := &member{name: fmt.Sprintf("%s-%d", s.name, n)}
+	st := &m.settings
+	st.Node.Service, st.Node.Domain, st.Node.Region = s.name, domain, region
+	for _, address := range []*string{&st.Node.Link, &st.Node.Entry, &st.Node.Outbound, &st.Node.Admin} {
+		var err error
+		if *address, err = reserved.take(); err != nil {
+			return nil, err
+		}
+	}
 	w, err := worker.New(worker.Config{
-		Service: s.name, Instance: m.name, Slots: s.slots, Connections: s.connections, Outbound: addresses[2],
+		Service: s.name, Instance: m.name, Slots: s.slots, Connections: s.connections, Outbound: st.Node.Outbound,
 		Routes: s.routes, Spread: f.cfg.spread, Seed: f.cfg.seed + uint64(n),
 	})
 	if err != nil {
@@ -189,16 +199,16 @@
 	go func() { _ = m.server.Serve(l) }()
 	backend := l.Addr().String()
 
-	st := &m.settings
-	st.Node.Service, st.Node.Domain, st.Node.Region = s.name, domain, region
-	st.Node.Link, st.Node.Entry, st.Node.Outbound, st.Node.Admin = addresses[0], addresses[1], addresses[2], addresses[3]
 	if f.cfg.relays {
 		if m.backend, err = relayer.New("127.0.0.1:0", backend); err != nil {
 			return nil, err
 		}
 		backend = m.backend.Address()
 		if linkRelays() {
-			st.Node.Listen = addresses[4]
+			if st.Node.Listen, err = reserved.take(); err != nil {
+				return nil, err
+			}
+			reserved.release(st.Node.Link)
 			if m.link, err = relayer.New(st.Node.Link, st.Node.Listen); err != nil {
 				return nil, err
 			}
--- a/crocusfake/internal/experimenter/hop.go
+++ b/crocusfake/internal/experimenter/hop.go
@@ -40,8 +40,8 @@
 	via := "http://" + f.of("ksiegi")[0].settings.Node.Entry + "/" + deepService + "/ping"
 	client := &http.Client{Timeout: 5 * time.Second}
 	hd, hv := hdrhistogram.New(1, 5_000_000, 3), hdrhistogram.New(1, 5_000_000, 3)
-	const warmUp = 200
-	for i := range n + warmUp {
+	const unmeasured = 200
+	for i := range n + unmeasured {
 		for _, c := range []struct {
 			url string
 			h   *hdrhistogram.Histogram
@@ -50,7 +50,7 @@
 			if err != nil {
 				return result, err
 			}
-			if i >= warmUp {
+			if i >= unmeasured {
 				_ = c.h.RecordValue(max(1, d.Microseconds()))
 			}
 		}
--- a/crocusfake/internal/experimenter/overload.go
+++ b/crocusfake/internal/experimenter/overload.go
@@ -27,7 +27,7 @@
 // callers from above the capacity on.
 func Overload(ctx context.Context, cfg DemoConfig, loads []float64, each time.Duration) (OverloadResult, error) {
 	full := capacity(cfg.PerService)
-	phases := []phase{{"warm-up", 0.5 * full, 0, 1, 3 * time.Second}}
+	phases := []phase{{"warm-up", 0.5 * full, 0, 1, warmUp}}
 	for _, load := range loads {
 		p := phase{name: fmt.Sprintf("%.1f x", load), rate: load * full, slow: 1, duration: each}
 		if load > 1 {
--- a/crocusfake/internal/experimenter/process.go
+++ b/crocusfake/internal/experimenter/process.go
@@ -12,18 +12,32 @@
 	"github.com/cockroachdb/errors"
 )
 
-// ports returns n free TCP ports of the loopback address.
-func ports(n int) ([]string, error) {
-	addresses := make([]string, 0, n)
-	for range n {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			return nil, errors.Wrap(err, "find a free port")
+// reservation holds free ports of the loopback address, so that no other
+// listener is given them.
+type reservation struct {
+	listeners map[string]net.Listener
+}
+
+func (r *reservation) take() (string, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", errors.Wrap(err, "find a free port")
+	}
+	if r.listeners == nil {
+		r.listeners = make(map[string]net.Listener)
+	}
+	r.listeners[l.Addr().String()] = l
+	return l.Addr().String(), nil
+}
+
+// release lets the node listen.
+func (r *reservation) release(addresses ...string) {
+	for _, a := range addresses {
+		if l, ok := r.listeners[a]; ok {
+			_ = l.Close()
+			delete(r.listeners, a)
 		}
-		defer func() { _ = l.Close() }()
-		addresses = append(addresses, l.Addr().String())
 	}
-	return addresses, nil
 }
 
 // nodeBinary returns the path of the crocusd beside the running binary.
--- a/crocusfake/internal/experimenter/releasewatch.go
+++ b/crocusfake/internal/experimenter/releasewatch.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"strings"
 	"sync"
 	"time"
 
@@ -66,7 +67,8 @@
 	for i, m := range w.f.members {
 		c, err := w.catalogue(ctx, m)
 		if err != nil {
-			w.breach("%s: catalogue: %v", m.name, err)
+			first, _, _ := strings.Cut(err.Error(), "\n")
+			w.breach("%s: GET /release: %s", m.name, first)
 			continue
 		}
 		if i == 0 {
