crocusd: synchronizer in place of polling; documents of the catalogue alone

Cause: every node polled the platform once a second; a node's own document had an empty note that no parser accepts. Ruled out: inventing a note for the document (its digest would match none that was published).

--- a/core/releaser/document.go
+++ b/core/releaser/document.go
@@ -12,10 +12,12 @@
 // MaxDocument is the largest value that the platform stores.
 const MaxDocument = 1 << 20
 
-// documentWire is the value of the platform key release/current.
+// documentWire is the value of the platform key release/current. Note and
+// NoteDigest are absent from the document of a node, which holds the catalogue
+// only.
 type documentWire struct {
-	Note       noteWire   `yaml:"Note"`
-	NoteDigest string     `yaml:"NoteDigest"`
+	Note       *noteWire  `yaml:"Note" json:",omitempty"`
+	NoteDigest string     `yaml:"NoteDigest" json:",omitempty"`
 	Catalogue  []itemWire `yaml:"Catalogue"`
 }
 
@@ -33,10 +35,14 @@
 
 // Document returns the value of release/current in JSON, which is also valid
 // YAML: the note, its digest and the resulting catalogue with the stamp of each
-// item.
+// item. The zero note gives a document of the catalogue alone.
 func Document(n Note, c Catalogue) []byte {
-	c, _ = c.With(n.Items()...)
-	d := documentWire{Note: wireOfNote(n), NoteDigest: FormatDigest(n.Digest())}
+	var d documentWire
+	if n.Number > 0 {
+		c, _ = c.With(n.Items()...)
+		w := wireOfNote(n)
+		d.Note, d.NoteDigest = &w, FormatDigest(n.Digest())
+	}
 	for _, i := range c.Items() {
 		w := itemWire{Name: i.Name, Number: i.Stamp.Number, Digest: FormatDigest(i.Stamp.Digest), Withdrawn: i.Withdrawn}
 		if !i.Withdrawn {
@@ -69,7 +75,7 @@
 }
 
 // ParseDocument parses the value of release/current. The catalogue it returns
-// always contains the note. The error is a reporter.Findings.
+// always contains the note; the note is zero when the document has none. The error is a reporter.Findings.
 func ParseDocument(b []byte) (Note, Catalogue, error) {
 	const name = "release/current"
 	if len(b) > MaxDocument {
@@ -89,9 +95,9 @@
 }
 
 func (d *documentWire) parse(c *reporter.Collector) (Note, Catalogue, error) {
-	n := d.Note.note(c, "Note.")
-	if got, ok := ParseDigest(d.NoteDigest); !ok || (c.Err() == nil && got != n.Digest()) {
-		c.Addf("NoteDigest", "%q does not match the note, whose digest is %s", d.NoteDigest, FormatDigest(n.Digest()))
+	var n Note
+	if d.Note != nil || d.NoteDigest != "" {
+		n = d.parseNote(c)
 	}
 	seen := make(map[string]bool)
 	items := make([]Item, 0, len(d.Catalogue))
@@ -107,10 +113,25 @@
 	if err := c.Err(); err != nil {
 		return Note{}, Catalogue{}, err
 	}
-	catalogue, _ := Catalogue{}.With(append(items, n.Items()...)...)
+	if n.Number > 0 {
+		items = append(items, n.Items()...)
+	}
+	catalogue, _ := Catalogue{}.With(items...)
 	return n, catalogue, nil
 }
 
+func (d *documentWire) parseNote(c *reporter.Collector) Note {
+	if d.Note == nil {
+		c.Addf("Note", "is missing, but there is a NoteDigest")
+		return Note{}
+	}
+	n := d.Note.note(c, "Note.")
+	if got, ok := ParseDigest(d.NoteDigest); !ok || (c.Err() == nil && got != n.Digest()) {
+		c.Addf("NoteDigest", "%q does not match the note, whose digest is %s", d.NoteDigest, FormatDigest(n.Digest()))
+	}
+	return n
+}
+
 func (w itemWire) item(c *reporter.Collector, at string) Item {
 	i := Item{Name: w.Name, Stamp: Stamp{Number: w.Number}, Withdrawn: w.Withdrawn}
 	var ok bool
--- a/crocusd/internal/forwarder/forwarder.go
+++ b/crocusd/internal/forwarder/forwarder.go
@@ -25,8 +25,9 @@
 	TicketLifetime  time.Duration
 	// PassThrough selects the baseline policy.
 	PassThrough bool
-	// VoidTimeout bounds the question about a try whose link was lost.
-	VoidTimeout time.Duration
+	// Find looks for upstreams of a service that the router knows none of. It
+	// may block for a moment and returns true when there are some.
+	Find func(ctx context.Context, service string) bool
 }
 
 // ratioBurst lets a service with little traffic retry at all.
@@ -130,6 +131,9 @@
 	defer cancel()
 	for {
 		upstream, reason := p.choose()
+		if reason == resolver.ReasonNoUpstream && p.result.Tries == 0 && p.f.cfg.Find(ctx, p.q.Service) {
+			upstream, reason = p.choose()
+		}
 		if reason != resolver.ReasonNone {
 			// After a try, its own outcome says more than the lack of another
 			// upstream.
--- a/crocusd/internal/runner/peers.go
+++ b/crocusd/internal/runner/peers.go
@@ -1,61 +1,83 @@
 package runner
 
 import (
+	"cmp"
+	"slices"
+
 	"crocustack/core/encoder"
 	"crocustack/core/informer"
 	"crocustack/core/linker"
 	"crocustack/core/releaser"
+	"crocustack/core/watcher"
 	"crocustack/crocusd/internal/handler"
 )
 
 // Hello implements linker.Handler.
 func (n *Node) Hello() *encoder.Hello {
-	s := n.source.current.Load()
-	number, _ := s.catalogue.Number()
-	return &encoder.Hello{
-		Incarnation: handler.IncarnationMessage(n.self), Domain: n.cfg.Node.Domain, Region: n.cfg.Node.Region,
-		CatalogueDigest: s.catalogue.Digest(), NoteNumber: number, Draining: n.handler.Draining(),
-	}
+	h := n.sync.Hello()
+	h.Incarnation = handler.IncarnationMessage(n.self)
+	h.Draining = n.handler.Draining()
+	return h
 }
 
 // Opened implements linker.Handler.
 func (n *Node) Opened(l *linker.Link) {
 	if l.Peer().GetDraining() {
-		n.peerLeaving(l)
-		return
+		n.peerLeaving(l.Address())
+	} else {
+		n.router.ClearLeaving(n.clock.Now(), l.Address())
+	}
+	if l.Address() != n.self.Address {
+		n.sync.Opened(l.Peer())
 	}
-	n.router.ClearLeaving(n.clock.Now(), l.Address())
 }
 
 // Closed implements linker.Handler.
-func (n *Node) Closed(*linker.Link, error) {}
+func (n *Node) Closed(l *linker.Link, _ error) {
+	if n.links.Lookup(l.Address()) == nil {
+		n.sync.Closed(l.Address())
+	}
+}
 
 // Stream implements linker.Handler.
 func (n *Node) Stream(l *linker.Link, s *linker.Stream) { n.handler.Stream(l, s) }
 
 // Control implements linker.Handler.
-func (n *Node) Control(l *linker.Link, m *encoder.Control) {
-	switch m.GetMessage().(type) {
-	case *encoder.Control_Leaving:
-		n.peerLeaving(l)
-	}
-}
+func (n *Node) Control(l *linker.Link, m *encoder.Control) { n.sync.Received(l.Address(), m) }
 
-func (n *Node) peerLeaving(l *linker.Link) {
-	n.router.MarkLeaving(n.clock.Now(), l.Address())
-	n.forward.Leaving(l.Address())
+func (n *Node) peerLeaving(address string) {
+	n.router.MarkLeaving(n.clock.Now(), address)
+	n.forward.Leaving(address)
 }
 
 // Status implements administrator.Node.
 func (n *Node) Status() informer.Status {
-	s := n.source.current.Load()
-	number, digest := s.catalogue.Number()
-	return informer.Status{
+	s := n.sync.Snapshot()
+	number, digest := s.Catalogue.Number()
+	status := informer.Status{
 		Service: n.self.Service, Address: n.self.Address, BootID: informer.Digest(n.self.BootID),
 		Domain: n.cfg.Node.Domain, Region: n.cfg.Node.Region, Started: n.started,
-		Note:      informer.Stamp{Number: number, Digest: informer.Digest(digest)},
-		Catalogue: informer.Digest(s.catalogue.Digest()), Draining: n.handler.Draining(), Limits: n.Limits(),
+		Note: informer.Stamp{Number: number, Digest: informer.Digest(digest)}, Since: n.started.Add(s.Since),
+		Catalogue: informer.Digest(s.Catalogue.Digest()), Draining: n.handler.Draining(), Reader: s.Reader,
+		Limits: n.Limits(),
+	}
+	for _, c := range s.View.Conflicts {
+		status.Concurrent = append(status.Concurrent, informer.Stamp{Number: c.Number, Digest: informer.Digest(c.Digest)})
+	}
+	for _, g := range s.View.Gaps {
+		status.Missing = append(status.Missing, informer.Stamp{Number: g.Number, Digest: informer.Digest(g.Digest)})
+	}
+	for name := range s.View.Services {
+		for _, i := range s.Table.Service(name) {
+			status.Upstreams = append(status.Upstreams, informer.Upstream{
+				Service: i.Service, Address: i.Address, Domain: i.Domain, Leaving: i.State == watcher.StateLeaving,
+			})
+		}
 	}
+	slices.SortFunc(status.Upstreams, func(a, b informer.Upstream) int {
+		return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.Address, b.Address))
+	})
+	return status
 }
 
 // Links implements administrator.Node.
@@ -79,5 +101,5 @@
 
 // Release implements administrator.Node.
 func (n *Node) Release() []byte {
-	return releaser.Document(releaser.Note{}, n.source.current.Load().catalogue)
+	return releaser.Document(releaser.Note{}, n.sync.Snapshot().Catalogue)
 }
--- a/crocusd/internal/runner/runner.go
+++ b/crocusd/internal/runner/runner.go
@@ -22,6 +22,7 @@
 	"crocustack/core/recorder"
 	"crocustack/core/releaser"
 	"crocustack/core/router"
+	"crocustack/core/spreader"
 	"crocustack/core/timekeeper"
 	"crocustack/core/watcher"
 	"crocustack/crocusd/internal/administrator"
@@ -29,15 +30,13 @@
 	"crocustack/crocusd/internal/handler"
 	"crocustack/crocusd/internal/prober"
 	"crocustack/crocusd/internal/server"
+	"crocustack/crocusd/internal/synchronizer"
 	"crocustack/crocusd/internal/tracer"
 )
 
 // recentDecisions is the number of decisions that the admin API can show.
 const recentDecisions = 4096
 
-// voidTimeout bounds the question about a try whose link was lost.
-const voidTimeout = 2 * time.Second
-
 const (
 	// leaveNotice is how long a leaving node still answers callers, with
 	// Draining and "Connection: close". Closing the listener at once would
@@ -64,7 +63,7 @@
 	handler *handler.Handler
 	forward *forwarder.Forwarder
 	server  *server.Server
-	source  *source
+	sync    *synchronizer.Synchronizer
 
 	drainOnce sync.Once
 	// drain is closed when a graceful stop was asked for.
@@ -100,17 +99,18 @@
 	}, n.self, n.clock, runs, calls, n.levels, n.rec)
 	n.forward = forwarder.New(forwarder.Config{
 		HoldAnswerBytes: int(cfg.Limits.HoldAnswerBytes), TicketLifetime: cfg.Limits.TicketLifetime,
-		PassThrough: passThrough, VoidTimeout: voidTimeout,
+		PassThrough: passThrough, Find: n.find,
 	}, n.self.BootID, n.clock, n.links, n.router, n.levels, calls, n.rec)
 	n.server = server.New(server.Config{
 		MaxBodyBytes: int64(cfg.Limits.MaxBodyBytes), BufferBytes: int64(cfg.Limits.BufferBytes),
 	}, n.view, n.Ready, n.forward, runs, n.rec)
-	n.source = &source{
-		client:   watcher.NewClient(cfg.Platform.URL, http.DefaultClient),
-		log:      func(msg string, err error) { program.Error(err, msg) },
-		onChange: n.apply,
-	}
-	n.source.current.Store(&snapshot{table: watcher.NewTable(watcher.Scope{All: true})})
+	planner := watcher.DefaultPlannerConfig
+	planner.Wait = cfg.Timing.WatchWait
+	n.sync = synchronizer.New(synchronizer.Config{
+		Service: cfg.Node.Service, Address: cfg.Node.Link, Domain: cfg.Node.Domain, Region: cfg.Node.Region,
+		Seeds: cfg.Seeds, Seed: n.self.BootID, Planner: planner, Spreader: spreader.DefaultConfig,
+		OnChange: n.apply, OnLeaving: n.peerLeaving, Log: program,
+	}, network{n.links}, watcher.NewClient(cfg.Platform.URL, &http.Client{}))
 	return n, nil
 }
 
@@ -120,31 +120,64 @@
 	return binary.LittleEndian.Uint64(b[:]) | 1 // Zero means "no incarnation".
 }
 
-func (n *Node) view() releaser.View { return n.source.current.Load().view }
+func (n *Node) view() releaser.View { return n.sync.Snapshot().View }
 
 // Ready tells whether the node serves requests.
-func (n *Node) Ready() bool { return n.source.current.Load().ready }
+func (n *Node) Ready() bool { return n.sync.Snapshot().Ready }
 
 // apply puts a new snapshot in force.
-func (n *Node) apply(s *snapshot) {
+func (n *Node) apply(s synchronizer.Snapshot) {
 	now := n.clock.Now()
-	if svc, ok := s.view.Services[n.self.Service]; ok {
+	if svc, ok := s.View.Services[n.self.Service]; ok {
 		slots := svc.Slots
 		if n.cfg.Backend.SlotsHint > 0 {
 			slots = n.cfg.Backend.SlotsHint
 		}
 		n.handler.SetLimits(slots, svc.QueueTime, svc.QueueLength)
 	}
-	n.forward.SetServices(s.view.Services)
-	for name := range s.view.Services {
-		var us []router.Upstream
-		for _, i := range s.table.Service(name) {
-			if i.State == watcher.StateLive {
-				us = append(us, router.Upstream{Service: i.Service, Address: i.Address, Domain: i.Domain, Region: i.Region})
-			}
+	n.forward.SetServices(s.View.Services)
+	for name := range s.View.Services {
+		n.router.SetUpstreams(now, name, n.upstreams(s.Table, name))
+	}
+}
+
+// upstreams returns the live upstreams of a service. The node leaves when it is
+// listed as leaving itself.
+func (n *Node) upstreams(t watcher.Table, service string) []router.Upstream {
+	var us []router.Upstream
+	for _, i := range t.Service(service) {
+		if i.State == watcher.StateLive {
+			us = append(us, router.Upstream{Service: i.Service, Address: i.Address, Domain: i.Domain, Region: i.Region})
+			continue
+		}
+		if i.Address == n.self.Address && i.State == watcher.StateLeaving {
+			n.leave()
+		}
+	}
+	return us
+}
+
+const (
+	// findTimeout bounds the wait for the instances of a service that this
+	// node has not called before.
+	findTimeout = time.Second
+	// findInterval is the time between two looks at the table.
+	findInterval = 20 * time.Millisecond
+)
+
+// find asks for the instances of a service that the node holds none of, and
+// waits until some are known. It returns false when none turned up.
+func (n *Node) find(ctx context.Context, service string) bool {
+	ctx, cancel := context.WithTimeout(ctx, findTimeout)
+	defer cancel()
+	n.sync.Want(service)
+	for len(n.router.Subset(service)) == 0 {
+		if ctx.Err() != nil {
+			return false
 		}
-		n.router.SetUpstreams(now, name, us)
+		sleep(ctx, findInterval)
 	}
+	return true
 }
 
 // Run serves until ctx ends, then stops gracefully.
@@ -170,7 +203,7 @@
 	defer cancel()
 	go func() { _ = n.links.Serve(link) }()
 	go n.handler.Run(inner)
-	go n.source.run(inner)
+	go func() { _ = n.sync.Run(inner) }()
 	if n.cfg.Backend.HealthPath != "" {
 		go prober.New(n.cfg.Backend.URL+n.cfg.Backend.HealthPath).Run(inner, n.leave)
 	}
