--- a/crocusd/internal/handler/handler.go
+++ b/crocusd/internal/handler/handler.go
@@ -277,17 +277,7 @@
 		return false
 	}
 	for {
-		h.gateMu.Lock()
-		decision := h.gate.Begin(h.clock.Now(), b)
-		var leader chan struct{}
-		switch d := decision.(type) {
-		case gatekeeper.Start:
-			h.finished[attemptID(m.GetId())] = make(chan struct{})
-		case gatekeeper.Join:
-			leader = h.finished[d.Leader]
-		}
-		h.gateMu.Unlock()
-
+		decision, leader := h.ask(b)
 		switch d := decision.(type) {
 		case gatekeeper.Start:
 			return true
@@ -310,6 +300,22 @@
 	}
 }
 
+// ask asks the gate about a try. For a Join it returns the channel that closes
+// when the leader ends, or nil when it has ended.
+func (h *Handler) ask(b gatekeeper.Begin) (gatekeeper.Decision, chan struct{}) {
+	h.gateMu.Lock()
+	defer h.gateMu.Unlock()
+	decision := h.gate.Begin(h.clock.Now(), b)
+	switch d := decision.(type) {
+	case gatekeeper.Start:
+		h.finished[b.ID] = make(chan struct{})
+	case gatekeeper.Join:
+		return d, h.finished[d.Leader]
+	case gatekeeper.Refuse, gatekeeper.Replay, gatekeeper.Doubt:
+	}
+	return decision, nil
+}
+
 // wait returns true when the leader ended, and false when the joiner's time was
 // up or its sender went away first. A nil leader has ended already.
 func wait(ctx context.Context, leader chan struct{}, gone <-chan struct{}) bool {
