recorder: calls of the backend server are counted apart from answers

Cause: the node recorded Answer for nested calls and for runs at the gate too, so goodput in 'crocusctl top' counted a request once for each hop (ksiegi 231/s at 140 offered requests a second in all). Ruled out: counting by depth in the client (a node does not report depth). Before: Answers.* grew with every hop. After: Answers.* is written once, by the entry node; Call is a kind of its own. /limits states slots and learned levels. Conclusion: Answers.* adds up to what callers were told.

--- a/core/admitter/levels.go
+++ b/core/admitter/levels.go
@@ -70,10 +70,33 @@
 	if !ok {
 		return 0
 	}
+	return e.effective(now)
+}
+
+func (e levelEntry) effective(now time.Duration) uint32 {
 	fallen := uint32(max(now-e.observed-levelHold, 0) * levelDecay / time.Second)
 	return e.level - min(e.level, fallen)
 }
 
+// KindLevel is the level of one kind of a service.
+type KindLevel struct {
+	Service, Kind string
+	Level         uint32
+}
+
+// All returns the levels above 0 in no particular order.
+func (l *Levels) All(now time.Duration) []KindLevel {
+	l.mu.RLock()
+	defer l.mu.RUnlock()
+	var all []KindLevel
+	for k, e := range l.entries {
+		if level := e.effective(now); level > 0 {
+			all = append(all, KindLevel{Service: k.service, Kind: k.kind, Level: level})
+		}
+	}
+	return all
+}
+
 // Allows tells whether a request with the priority may be sent.
 func (l *Levels) Allows(now time.Duration, service, kind string, priority uint32) bool {
 	return priority >= l.Effective(now, service, kind)
--- a/core/recorder/decision.go
+++ b/core/recorder/decision.go
@@ -27,9 +27,10 @@
 	KindNote               // A release note was accepted, rejected or merged.
 	KindReader             // The node began or stopped reading the platform.
 	KindAnswer             // The caller of a request was given its outcome.
+	KindCall               // The backend server was given the outcome of a call that it made.
 )
 
-const numKinds = int(KindAnswer) + 1
+const numKinds = int(KindCall) + 1
 
 // Decision is one decision of a node.
 type Decision struct {
--- a/core/recorder/kind_string.go
+++ b/core/recorder/kind_string.go
@@ -18,11 +18,12 @@
 	_ = x[KindNote-7]
 	_ = x[KindReader-8]
 	_ = x[KindAnswer-9]
+	_ = x[KindCall-10]
 }
 
-const _Kind_name = "RouteAdmitShedRefuseRetryVoidDrainNoteReaderAnswer"
+const _Kind_name = "RouteAdmitShedRefuseRetryVoidDrainNoteReaderAnswerCall"
 
-var _Kind_index = [...]uint8{0, 5, 10, 14, 20, 25, 29, 34, 38, 44, 50}
+var _Kind_index = [...]uint8{0, 5, 10, 14, 20, 25, 29, 34, 38, 44, 50, 54}
 
 func (i Kind) String() string {
 	idx := int(i) - 0
--- a/crocusd/internal/handler/execute.go
+++ b/crocusd/internal/handler/execute.go
@@ -12,7 +12,6 @@
 	"crocustack/core/encoder"
 	"crocustack/core/gatekeeper"
 	"crocustack/core/linker"
-	"crocustack/core/recorder"
 	"crocustack/core/resolver"
 	"crocustack/crocusd/internal/tracer"
 )
@@ -107,7 +106,6 @@
 	h.runs.Remove(run)
 	outcome := resolver.Ran{Status: resp.StatusCode}
 	h.finish(m, gatekeeper.Answer{Status: resp.StatusCode, Headers: head.GetHeaders(), Body: held, Outcome: outcome})
-	h.record(m, recorder.KindAnswer, outcome, "")
 	sendWhole(s, head, held, takeRest(run.Pool))
 }
 
@@ -180,5 +178,4 @@
 	_ = s.Send(&encoder.BodyFrame{Frame: &encoder.BodyFrame_End{End: &encoder.End{
 		Length: length, Xxhash64: digest.Sum64(), Aborted: err != io.EOF, Unspent: takeRest(run.Pool),
 	}}})
-	h.record(m, recorder.KindAnswer, resolver.Ran{Status: int(head.GetStatus())}, "streamed")
 }
--- a/crocusd/internal/runner/peers.go
+++ b/crocusd/internal/runner/peers.go
@@ -96,7 +96,14 @@
 // Limits implements administrator.Node.
 func (n *Node) Limits() informer.Limits {
 	ld := n.handler.Load()
-	return informer.Limits{Limit: ld.Limit, InFlight: ld.InFlight, Queued: ld.Queued, Level: ld.Level}
+	limits := informer.Limits{Slots: n.slots(n.view()), Limit: ld.Limit, InFlight: ld.InFlight, Queued: ld.Queued, Level: ld.Level}
+	for _, l := range n.levels.All(n.clock.Now()) {
+		limits.Levels = append(limits.Levels, informer.Level(l))
+	}
+	slices.SortFunc(limits.Levels, func(a, b informer.Level) int {
+		return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.Kind, b.Kind))
+	})
+	return limits
 }
 
 // Release implements administrator.Node.
--- a/crocusd/internal/runner/runner.go
+++ b/crocusd/internal/runner/runner.go
@@ -129,11 +129,7 @@
 func (n *Node) apply(s synchronizer.Snapshot) {
 	now := n.clock.Now()
 	if svc, ok := s.View.Services[n.self.Service]; ok {
-		slots := svc.Slots
-		if n.cfg.Backend.SlotsHint > 0 {
-			slots = n.cfg.Backend.SlotsHint
-		}
-		n.handler.SetLimits(slots, svc.QueueTime, svc.QueueLength)
+		n.handler.SetLimits(n.slots(s.View), svc.QueueTime, svc.QueueLength)
 	}
 	n.forward.SetServices(s.View.Services)
 	for name := range s.View.Services {
@@ -141,6 +137,14 @@
 	}
 }
 
+// slots is the bound on concurrent requests at the backend server.
+func (n *Node) slots(v releaser.View) int {
+	if n.cfg.Backend.SlotsHint > 0 {
+		return n.cfg.Backend.SlotsHint
+	}
+	return v.Services[n.self.Service].Slots
+}
+
 // upstreams returns the live upstreams of a service. The node leaves when it is
 // listed as leaving itself.
 func (n *Node) upstreams(t watcher.Table, service string) []router.Upstream {
--- a/crocusd/internal/server/server.go
+++ b/crocusd/internal/server/server.go
@@ -67,14 +67,14 @@
 func (v *Server) Entry() http.Handler {
 	r := mux.NewRouter().SkipClean(true).UseEncodedPath()
 	r.HandleFunc("/crocus/tickets", v.serveTickets).Methods(http.MethodPost)
-	r.HandleFunc("/{service}/{path:.*}", v.serve(v.fromCaller))
+	r.HandleFunc("/{service}/{path:.*}", v.serve(v.fromCaller, false))
 	return r
 }
 
 // Outbound returns the handler for the node's own backend server.
 func (v *Server) Outbound() http.Handler {
 	r := mux.NewRouter().SkipClean(true).UseEncodedPath()
-	r.HandleFunc("/{service}/{path:.*}", v.serve(v.fromBackend))
+	r.HandleFunc("/{service}/{path:.*}", v.serve(v.fromBackend, true))
 	return r
 }
 
@@ -82,12 +82,13 @@
 // depth and deadline. A refusal is a reason other than ReasonNone.
 type origin func(r *http.Request, q *forwarder.Request) resolver.Reason
 
-func (v *Server) serve(complete origin) http.HandlerFunc {
+func (v *Server) serve(complete origin, outbound bool) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		v.active.Add(1)
 		defer v.active.Add(-1)
 		start := time.Now()
 		q, reason, detail := v.parse(r)
+		q.Outbound = outbound
 		w.Header().Set(headerRequest, q.ID)
 		if reason != resolver.ReasonNone {
 			v.answerNotRun(w, q, reason, detail, start)
@@ -326,8 +327,12 @@
 }
 
 func (v *Server) record(q forwarder.Request, upstream string, o resolver.Outcome, detail string, start time.Time) {
+	kind := recorder.KindAnswer
+	if q.Outbound {
+		kind = recorder.KindCall
+	}
 	v.rec.Record(recorder.Decision{
-		Time: time.Now(), Kind: recorder.KindAnswer, RequestID: q.ID, Service: q.Service, KindName: q.Kind.Name,
+		Time: time.Now(), Kind: kind, RequestID: q.ID, Service: q.Service, KindName: q.Kind.Name,
 		Class: q.Class, Upstream: upstream, Outcome: o, Detail: detail, Took: time.Since(start),
 	})
 }
