experimenter: drain announces with requests in flight

Cause: one run announced the stop when nothing was in flight (exit after 14 ms), which shows nothing about interruptions. Ruled out: more load, which would shed. Before: in-flight requests at the announcement were unknown. Conclusion: the wait is bounded by 2 s; the count is in the table.

--- a/crocusfake/internal/experimenter/drain.go
+++ b/crocusfake/internal/experimenter/drain.go
@@ -15,6 +15,9 @@
 // DrainCase holds the figures of one way to leave.
 type DrainCase struct {
 	Way, Member string
+	// InFlight is the number of requests at the backend server at the
+	// announcement.
+	InFlight int
 	// LastRunMs is the begin of the last run at the leaving backend server,
 	// from the announcement on; 0 without one.
 	LastRunMs Milliseconds
@@ -88,12 +91,16 @@
 		if err := sleep(ctx, 3*time.Second); err != nil {
 			return result, err
 		}
+		// Without a request in flight the case would show nothing.
+		for end := time.Now().Add(2 * time.Second); c.m.worker.Present() == 0 && time.Now().Before(end); {
+			time.Sleep(time.Millisecond)
+		}
+		d := DrainCase{Way: c.way, Member: c.m.name, InFlight: c.m.worker.Present()}
 		at := time.Now()
 		if err := c.leave(c.m); err != nil {
 			return result, errors.Wrap(err, c.way)
 		}
 		events = append(events, event{c.m, at})
-		d := DrainCase{Way: c.way, Member: c.m.name}
 		if c.way == "node gets SIGTERM" {
 			// Callers stop using the entry when it is announced as leaving.
 			l.SetEntries(f.entries()[1:])
@@ -176,9 +183,9 @@
 
 // Table returns one row for each way to leave.
 func (r DrainResult) Table() [][]string {
-	rows := [][]string{{"Way", "Member", "Last new run", "New runs after 2 s", "Cut off", "Interrupted", "Failed / offered", "Exit", "Failures"}}
+	rows := [][]string{{"Way", "Member", "In flight", "Last new run", "New runs after 2 s", "Cut off", "Interrupted", "Failed / offered", "Exit", "Failures"}}
 	for _, c := range r.Cases {
-		rows = append(rows, []string{c.Way, c.Member, c.LastRunMs.String(), fmt.Sprint(c.Late), fmt.Sprint(c.Cut), fmt.Sprint(c.Interrupted),
+		rows = append(rows, []string{c.Way, c.Member, fmt.Sprint(c.InFlight), c.LastRunMs.String(), fmt.Sprint(c.Late), fmt.Sprint(c.Cut), fmt.Sprint(c.Interrupted),
 			fmt.Sprintf("%d / %d", c.Failed, c.Offered), fmt.Sprintf("%s %v", c.Exit, c.ExitMs), fmt.Sprint(c.Failures)})
 	}
 	return append(rows, []string{"breaches", fmt.Sprint(r.Breaches()), list(r.Verdict.Examples)})
