server: a first attempt whose home can't be reached gets another ticket

Cause: the ticket of a killed or frozen home made every repeat of its caller fail, although a first attempt for which nothing was written can't have run. Ruled out: doing the same for repeats (an earlier attempt may have run there).

--- a/crocusd/internal/runner/peers.go
+++ b/crocusd/internal/runner/peers.go
@@ -34,6 +34,8 @@
 
 // Closed implements linker.Handler.
 func (n *Node) Closed(l *linker.Link, _ error) {
+	// The peer may have been replaced; its tickets are of no use then.
+	n.forward.Leaving(l.Address())
 	if n.links.Lookup(l.Address()) == nil {
 		n.sync.Closed(l.Address())
 	}
--- a/crocusd/internal/server/server.go
+++ b/crocusd/internal/server/server.go
@@ -281,9 +281,19 @@
 	resolver.ReasonDraining:       "this node is leaving; send the request to another one",
 }
 
-// endsTicket tells whether a refusal for the reason makes an unused ticket void.
-func endsTicket(reason resolver.Reason) bool {
-	return reason == resolver.ReasonDraining || reason == resolver.ReasonTicketExpired
+// endsTicket tells whether a refusal shows that the ticket never ran and never
+// will. Its own gate says so when it is leaving or the ticket is expired. When
+// the gate can't be reached, only a caller that states its first attempt shows
+// it: nothing was sent under the ticket then.
+func endsTicket(q *forwarder.Request, reason resolver.Reason) bool {
+	switch reason {
+	case resolver.ReasonDraining, resolver.ReasonTicketExpired:
+		return true
+	case resolver.ReasonNoLink, resolver.ReasonTicketForeign:
+		return q.First
+	default:
+		return false
+	}
 }
 
 // replaceTicket gives the caller a ticket that it can use. The request
@@ -304,7 +314,7 @@
 		v.record(q, result.Upstream, o, "", start)
 	case resolver.NotRun:
 		v.record(q, result.Upstream, o, "", start)
-		if q.Ticket != nil && endsTicket(o.Reason) && v.replaceTicket(w, r, q) {
+		if q.Ticket != nil && endsTicket(&q, o.Reason) && v.replaceTicket(w, r, q) {
 			writeOutcome(w, http.StatusPreconditionRequired, "NotRun", o.Reason, "the ticket is void; send the request again with the ticket of this answer")
 			return
 		}
