reporter: a long list on one line is not deep nesting

Cause: the depth bound counted the colons of a flow collection as nested block indicators, so an instance list written by a JSON encoder on one line was rejected: "instances:1:2943: nested deeper than 64 levels".

Ruled out: a higher bound; block indicators don't nest inside brackets.

Before: go test ./core/reporter -run TestOneLine: "line:1:5204: nested deeper than 64 levels".

After: go test ./core/reporter: ok, TestDeepNesting included.

Conclusion: indicators count only outside brackets.

--- a/core/reporter/collector.go
+++ b/core/reporter/collector.go
@@ -254,7 +254,9 @@
 		case token.MappingEndType, token.SequenceEndType:
 			flow--
 		case token.SequenceEntryType, token.MappingKeyType, token.MappingValueType, token.TagType, token.AnchorType:
-			inline++
+			if flow == 0 {
+				inline++
+			}
 		default:
 		}
 		if flow > maxDepth || len(columns) > maxDepth || (flow == 0 && inline > maxDepth) {
--- a/core/reporter/reporter_test.go
+++ b/core/reporter/reporter_test.go
@@ -74,6 +74,16 @@
 	})
 }
 
+// TestOneLine guards against a long list on one line, as JSON encoders write
+// it, that counts as deep nesting.
+func TestOneLine(t *testing.T) {
+	var s []sample
+	b := "[" + strings.Repeat(`{"Name": "a", "Count": 1},`, 200) + "{}]"
+	if err := Decode("line", []byte(b), &s).Err(); err != nil || len(s) != 201 {
+		t.Error(err)
+	}
+}
+
 // TestDeepNesting guards against a stack overflow, which would end the
 // process, on a value of the largest size that the platform stores.
 func TestDeepNesting(t *testing.T) {
