releaser: digest independent of list order, decoded values kept

Each view decoded all items again, also those that had not changed.

Ruled out: sorting in the callers.

Conclusion: the canonical form sorts; the catalogue keeps each item's decoded value, so a view decodes only what changed.

--- a/core/releaser/catalogue.go
+++ b/core/releaser/catalogue.go
@@ -2,10 +2,8 @@
 
 import (
 	"cmp"
-	"encoding/json"
 	"maps"
 	"slices"
-	"strings"
 
 	"crocustack/core/classifier"
 )
@@ -17,7 +15,7 @@
 // Catalogue is the mergeable state of all releases. It is immutable and safe
 // for concurrent use. With is a join: commutative, associative and idempotent.
 type Catalogue struct {
-	items map[string]Item
+	items map[string]entry
 	// sections holds the XOR of the hashes of each section's items, so that a
 	// change costs one hash.
 	sections map[string]uint64
@@ -25,6 +23,15 @@
 	highest  Stamp
 }
 
+// entry holds an item and its decoded value, so that a view is built without
+// decoding every item again after each change.
+type entry struct {
+	Item
+	// value is a Service, classifier.Kind, Domain or Predecessor, or nil for a
+	// tombstone.
+	value any
+}
+
 // With joins items into the catalogue and returns those that changed it.
 // Headers outside the window are dropped; the window only moves up, so the
 // result does not depend on the order of arrival.
@@ -33,7 +40,7 @@
 	changed := make(map[string]bool)
 	for _, i := range items {
 		old, ok := out.items[i.Name]
-		if ok && i.compare(old) <= 0 {
+		if ok && i.compare(old.Item) <= 0 {
 			continue
 		}
 		if i.Section == HeadersSection && !inWindow(i.Stamp.Number, out.highest.Number) {
@@ -42,14 +49,14 @@
 		if len(changed) == 0 {
 			out.items, out.sections = maps.Clone(c.items), maps.Clone(c.sections)
 			if out.items == nil {
-				out.items, out.sections = make(map[string]Item), make(map[string]uint64)
+				out.items, out.sections = make(map[string]entry), make(map[string]uint64)
 			}
 		}
 		if ok {
-			out.toggle(old)
+			out.toggle(old.Item)
 		}
 		changed[i.Name] = true
-		out.items[i.Name] = i
+		out.items[i.Name] = entry{i, i.parse()}
 		out.toggle(i)
 		if i.Stamp.Compare(out.highest) > 0 {
 			out.highest = i.Stamp
@@ -58,7 +65,7 @@
 	if out.highest.Number > c.highest.Number {
 		for name, i := range out.items {
 			if i.Section == HeadersSection && !inWindow(i.Stamp.Number, out.highest.Number) {
-				out.toggle(i)
+				out.toggle(i.Item)
 				delete(out.items, name)
 				delete(changed, name)
 			}
@@ -66,7 +73,7 @@
 	}
 	var list []Item
 	for _, name := range slices.Sorted(maps.Keys(changed)) {
-		list = append(list, out.items[name])
+		list = append(list, out.items[name].Item)
 	}
 	return out, list
 }
@@ -98,15 +105,15 @@
 
 // Item returns one item by name.
 func (c Catalogue) Item(name string) (Item, bool) {
-	i, ok := c.items[name]
-	return i, ok
+	e, ok := c.items[name]
+	return e.Item, ok
 }
 
 func (c Catalogue) filter(keep func(Item) bool) []Item {
 	var out []Item
 	for _, i := range c.items {
-		if keep(i) {
-			out = append(out, i)
+		if keep(i.Item) {
+			out = append(out, i.Item)
 		}
 	}
 	slices.SortFunc(out, func(a, b Item) int { return cmp.Compare(a.Name, b.Name) })
@@ -134,12 +141,7 @@
 func (c Catalogue) Gaps() []Predecessor {
 	missing := make(map[Predecessor]bool)
 	for _, h := range c.headers() {
-		var w headerWire
-		if err := json.Unmarshal([]byte(h.Value), &w); err != nil {
-			continue
-		}
-		d, _ := ParseDigest(w.Predecessor.Digest)
-		p := Predecessor{Number: w.Predecessor.Number, Digest: d}
+		p, _ := c.items[h.Name].value.(Predecessor)
 		if p.Number == 0 || !inWindow(p.Number, c.highest.Number) {
 			continue
 		}
@@ -177,19 +179,13 @@
 		Number: c.highest.Number, Digest: c.highest.Digest, Conflicts: c.Conflicts(), Gaps: c.Gaps(),
 	}
 	for _, i := range c.items {
-		if i.Withdrawn {
-			continue
-		}
-		switch {
-		case strings.HasPrefix(i.Name, servicePrefix):
-			s := parseService(i.Value)
-			v.Services[s.Name] = s
-		case strings.HasPrefix(i.Name, kindPrefix):
-			k := parseKind(i.Value)
-			v.Kinds[k.Name] = k
-		case strings.HasPrefix(i.Name, domainPrefix):
-			d := parseDomain(i.Value)
-			v.Domains[d.Name] = d
+		switch x := i.value.(type) {
+		case Service:
+			v.Services[x.Name] = x
+		case classifier.Kind:
+			v.Kinds[x.Name] = x
+		case Domain:
+			v.Domains[x.Name] = x
 		}
 	}
 	maps.DeleteFunc(v.Kinds, func(_ string, k classifier.Kind) bool {
--- a/core/releaser/document.go
+++ b/core/releaser/document.go
@@ -4,8 +4,8 @@
 	"bytes"
 	"encoding/json"
 	"strconv"
+	"strings"
 
-	"crocustack/core/classifier"
 	"crocustack/core/reporter"
 )
 
@@ -156,20 +156,27 @@
 	}
 }
 
-func parseService(value string) Service {
-	var w serviceWire
-	mustUnmarshal(value, &w)
-	return w.service(reporter.NewCollector(""), "")
-}
-
-func parseKind(value string) classifier.Kind {
-	var w kindWire
-	mustUnmarshal(value, &w)
-	return w.kind(reporter.NewCollector(""), "")
-}
-
-func parseDomain(value string) Domain {
-	var w domainWire
-	mustUnmarshal(value, &w)
-	return Domain(w)
+// parse returns the decoded value of an item that passed check.
+func (i Item) parse() any {
+	c := reporter.NewCollector(i.Name)
+	switch prefix, _, _ := strings.Cut(i.Name, "/"); {
+	case i.Withdrawn:
+	case prefix+"/" == servicePrefix:
+		var w serviceWire
+		mustUnmarshal(i.Value, &w)
+		return w.service(c, "")
+	case prefix+"/" == kindPrefix:
+		var w kindWire
+		mustUnmarshal(i.Value, &w)
+		return w.kind(c, "")
+	case prefix+"/" == domainPrefix:
+		var w domainWire
+		mustUnmarshal(i.Value, &w)
+		return Domain(w)
+	case prefix+"/" == headerPrefix:
+		var w headerWire
+		mustUnmarshal(i.Value, &w)
+		return w.Predecessor.predecessor(c, "")
+	}
+	return nil
 }
--- a/core/releaser/note.go
+++ b/core/releaser/note.go
@@ -53,7 +53,7 @@
 	Services, Kinds, Domains []string
 }
 
-// Note is one accepted release note. Its lists are sorted by name.
+// Note is one release note.
 type Note struct {
 	Number         uint64
 	Predecessor    Predecessor
@@ -77,10 +77,20 @@
 	return n, nil
 }
 
-// Canonical returns the canonical JSON of the note. It is also valid YAML, and
-// ParseNote of it returns the same note.
+// Canonical returns the canonical JSON of the note, in which lists are sorted by
+// name. It is also valid YAML, and ParseNote of it returns the same note.
 func (n Note) Canonical() []byte { return mustMarshal(wireOfNote(n)) }
 
+// clone returns a copy that shares no list of items with the note.
+func (n Note) clone() Note {
+	for _, s := range []*Section{&n.Added, &n.Changed} {
+		s.Services, s.Kinds, s.Domains = slices.Clone(s.Services), slices.Clone(s.Kinds), slices.Clone(s.Domains)
+	}
+	w := &n.Withdrawn
+	w.Services, w.Kinds, w.Domains = slices.Clone(w.Services), slices.Clone(w.Kinds), slices.Clone(w.Domains)
+	return n
+}
+
 // Digest is the hash of the canonical form.
 func (n Note) Digest() uint64 { return xxhash.Sum64(n.Canonical()) }
 
--- a/core/releaser/releaser_test.go
+++ b/core/releaser/releaser_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -85,6 +86,12 @@
 func TestRoundTrips(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		n, c := drawNote(t, "note"), drawCatalogue(t, "catalogue")
+		swapped := n.clone()
+		slices.Reverse(swapped.Added.Services)
+		slices.Reverse(swapped.Changed.Kinds)
+		if swapped.Digest() != n.Digest() {
+			t.Fatal("the digest depends on the order of lists")
+		}
 		back, err := ParseNote("note", n.Canonical())
 		if err != nil || back.Digest() != n.Digest() || !cmp.Equal(back.Items(), n.Items()) {
 			t.Fatalf("note changed: %v %s", err, cmp.Diff(n, back))
--- a/core/releaser/wire.go
+++ b/core/releaser/wire.go
@@ -299,6 +299,8 @@
 }
 
 func wireOfNote(n Note) noteWire {
+	n = n.clone()
+	n.normalize()
 	section := func(s Section) (w sectionWire) {
 		for _, v := range s.Services {
 			w.Services = append(w.Services, wireOfService(v))
