configurer: Node.Listen

Cause: a link is known by the address that the peer states in the handshake, and a node listened at that address only, so nothing could stand between two nodes in a test of silent or closed links. Ruled out: a relay at another address in the instance list: the handshake states Node.Link, so each request dialled a new link and a Void went around the relay. Conclusion: relays between nodes are possible.

--- a/core/configurer/settings.go
+++ b/core/configurer/settings.go
@@ -28,6 +28,7 @@
 	Domain   string `yaml:"Domain"`
 	Region   string `yaml:"Region"`
 	Link     string `yaml:"Link"`
+	Listen   string `yaml:"Listen"`
 	Entry    string `yaml:"Entry"`
 	Outbound string `yaml:"Outbound"`
 	Admin    string `yaml:"Admin"`
--- a/core/configurer/table.go
+++ b/core/configurer/table.go
@@ -46,6 +46,15 @@
 		"Region of the failure domain."),
 	required("Node.Link", "host:port", func(s *Settings) *string { return &s.Node.Link }, checkLink,
 		"Address for links from other nodes, as in the instance list. Peers dial it, so the host can't be left out."),
+	{Name: "Node.Listen", Unit: "host:port", Default: "Node.Link", Range: "host and port",
+		About:      "Listener for links when Node.Link is the address of something in front of it, such as an address translation.",
+		setDefault: func(*Settings) {},
+		check: func(s *Settings) string {
+			if s.Node.Listen == "" {
+				return ""
+			}
+			return checkListen(s.Node.Listen)
+		}},
 	required("Node.Entry", "host:port", func(s *Settings) *string { return &s.Node.Entry }, checkListen,
 		"Listener for callers."),
 	required("Node.Outbound", "host:port", func(s *Settings) *string { return &s.Node.Outbound }, checkListen,
--- a/crocusd/internal/runner/runner.go
+++ b/crocusd/internal/runner/runner.go
@@ -1,6 +1,7 @@
 package runner
 
 import (
+	"cmp"
 	"context"
 	"crypto/rand"
 	"encoding/binary"
@@ -133,7 +134,7 @@
 
 // Run serves until ctx ends, then stops gracefully.
 func (n *Node) Run(ctx context.Context) error {
-	link, err := net.Listen("tcp", n.cfg.Node.Link)
+	link, err := net.Listen("tcp", cmp.Or(n.cfg.Node.Listen, n.cfg.Node.Link))
 	if err != nil {
 		return errors.Wrap(err, "listen for links")
 	}
