handler: a refusal returns only the allowance that is left

Cause: when the backend server refused a request after it had called other services, the gate returned the whole allowance of the request, although part of it was spent below. Along a chain whose services refuse because the one below refuses, retries multiplied. Ruled out: the retry ratio (10 retries at once per service), and Pool, whose invariant held at each node.

--- a/crocusd/internal/handler/execute.go
+++ b/crocusd/internal/handler/execute.go
@@ -48,7 +48,8 @@
 		}
 		h.runs.Remove(run)
 		h.withdraw(m)
-		h.refuse(s, m, r.reason, nil)
+		// The backend server may have called other services before it refused.
+		h.refuse(s, m, r.reason, takeRest(run.Pool))
 		result.Refused = true
 	case lost:
 		h.runs.Remove(run)
--- a/crocusd/internal/handler/handler.go
+++ b/crocusd/internal/handler/handler.go
@@ -202,7 +202,7 @@
 func (h *Handler) serveRun(l *linker.Link, s *linker.Stream, m *encoder.Run) {
 	body, err := h.readBody(s, m)
 	if err != nil {
-		h.refuse(s, m, resolver.ReasonBodyTooLarge, nil)
+		h.refuse(s, m, resolver.ReasonBodyTooLarge, m.GetAllowance())
 		return
 	}
 	remaining := time.Duration(min(m.GetRemainingMicros(), maxRemainingMicros)) * time.Microsecond
@@ -273,7 +273,7 @@
 func (h *Handler) begin(ctx context.Context, s *linker.Stream, m *encoder.Run, gone <-chan struct{}) bool {
 	b, err := beginOf(m)
 	if err != nil {
-		h.refuse(s, m, resolver.ReasonBadRequest, nil)
+		h.refuse(s, m, resolver.ReasonBadRequest, m.GetAllowance())
 		return false
 	}
 	for {
@@ -282,7 +282,7 @@
 		case gatekeeper.Start:
 			return true
 		case gatekeeper.Refuse:
-			h.refuse(s, m, d.Reason, nil)
+			h.refuse(s, m, d.Reason, m.GetAllowance())
 			return false
 		case gatekeeper.Replay:
 			h.record(m, recorder.KindAdmit, resolver.Ran{Status: d.Answer.Status}, "stored answer")
@@ -356,7 +356,7 @@
 	close(admitted)
 	if reason != resolver.ReasonNone {
 		h.withdraw(m)
-		h.refuse(s, m, reason, nil)
+		h.refuse(s, m, reason, m.GetAllowance())
 		return
 	}
 	h.record(m, recorder.KindAdmit, nil, "")
@@ -418,14 +418,16 @@
 	})
 }
 
-// refuse answers that the request was not run and never will be.
-func (h *Handler) refuse(s *linker.Stream, m *encoder.Run, reason resolver.Reason, ticket *encoder.Ticket) {
+// refuse answers that the request was not run and never will be. unspent is the
+// part of the allowance that goes back to the sender.
+func (h *Handler) refuse(s *linker.Stream, m *encoder.Run, reason resolver.Reason, unspent uint32) {
 	kind := recorder.KindRefuse
 	if reason.Overloaded() {
 		kind = recorder.KindShed
 	}
 	h.record(m, kind, resolver.NotRun{Reason: reason}, "")
-	if reason == resolver.ReasonTicketRequired && ticket == nil {
+	var ticket *encoder.Ticket
+	if reason == resolver.ReasonTicketRequired {
 		h.gateMu.Lock()
 		if ts := h.gate.Mint(h.clock.Now(), m.GetKind(), 1); len(ts) == 1 {
 			ticket = ts[0].Message()
@@ -434,7 +436,7 @@
 	}
 	_ = s.Send(&encoder.Answer{
 		Id: m.GetId(), Outcome: encoder.Outcome_OUTCOME_NOT_RUN, Reason: uint32(reason),
-		Unspent: m.GetAllowance(), Load: h.loadMessage(m.GetKind()), Ticket: ticket, Responder: IncarnationMessage(h.self),
+		Unspent: unspent, Load: h.loadMessage(m.GetKind()), Ticket: ticket, Responder: IncarnationMessage(h.self),
 	})
 }
 
