meter: slopes of processor time, memory and bytes of real nodes

Cause: docs/CAPACITY.md derives the cost of each role from measured slopes. Ruled out: fixed sizes (one size can't tell a unit's cost from the idle cost); in-process nodes (memory and garbage collection would be shared). Before: no figures for a node process. After: verb 'crocusfake capacity'; /links shows bytes read and written.

--- a/core/informer/status.go
+++ b/core/informer/status.go
@@ -92,4 +92,7 @@
 	Streams                  int
 	Opened                   time.Time
 	Draining                 bool
+	// BytesRead and BytesWritten count the payload of the TCP connection since
+	// Opened, handshake included.
+	BytesRead, BytesWritten int64
 }
--- a/crocusd/internal/runner/peers.go
+++ b/crocusd/internal/runner/peers.go
@@ -63,9 +63,11 @@
 	links := []informer.Link{}
 	for _, l := range n.links.Links() {
 		p := l.Peer()
+		read, written := l.Traffic()
 		links = append(links, informer.Link{
 			Address: l.Address(), Service: p.GetIncarnation().GetService(), Domain: p.GetDomain(),
 			BootID: informer.Digest(p.GetIncarnation().GetBootId()), Streams: int(l.Pending()), Opened: l.Since,
+			BytesRead: read, BytesWritten: written,
 		})
 	}
 	return links
--- /dev/null
+++ b/crocusfake/internal/commander/capacity.go
@@ -0,0 +1,29 @@
+package commander
+
+import (
+	"context"
+	"io"
+
+	"crocustack/crocusfake/internal/meter"
+)
+
+var capacityVerb = verb{
+	name:    "capacity",
+	summary: "what a node costs: processor time, memory and bytes by size",
+	description: `Measures real nodes at several sizes and fits a line through the measurements:
+processor time and bytes for each request, memory for each link, request in
+flight, gate record, instance and release item, and the cost of idle nodes.
+Min, median and max are of the slopes of the single runs. The machine should be
+idle; the load average before and after is printed. Takes about 4 minutes.`,
+	create: func() command { return &capacityCommand{} },
+}
+
+type capacityCommand struct {
+	experimentOptions
+	Runs int `long:"runs" default:"3" description:"runs of each measurement"`
+}
+
+func (c *capacityCommand) Run(ctx context.Context, out io.Writer) error {
+	r, err := meter.Measure(ctx, c.command(), c.Seed, c.Runs)
+	return c.show(out, r.Head, r, err)
+}
--- /dev/null
+++ b/crocusfake/internal/meter/measure.go
@@ -0,0 +1,375 @@
+package meter
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"crocustack/core/releaser"
+
+	"crocustack/crocusfake/internal/publisher"
+)
+
+const (
+	domain      = "waw-a"
+	otherDomain = "waw-b"
+	// window is long enough for 100 ticks of the processor time in /proc (10 ms
+	// each) at 500 requests a second of 1 ms.
+	window = 2 * time.Second
+	// settle is the time for the heap to grow and shrink after a change.
+	settle = time.Second
+	// reading is longer than two reads of the platform at the interval of the
+	// node.
+	reading = 2500 * time.Millisecond
+)
+
+var (
+	rates      = []float64{250, 1000, 2000}
+	linkCounts = []int{64, 256, 512, 1024}
+	// inFlight stays below the tenth of the slots that a node admits after its
+	// start.
+	inFlight       = []int{100, 200, 400, 800}
+	recordCounts   = []int{2000, 8000, 16000, 32000}
+	instanceCounts = []int{300, 1000, 2000, 3000}
+	itemCounts     = []int{340, 680, 1360, 2040}
+	fleets         = []int{8, 16, 32, 64}
+)
+
+// requests measures processor time and bytes for each request, by role.
+func (m *meter) requests(ctx context.Context, decisions bool) ([]Row, error) {
+	r, err := newRig(decisions, domain)
+	if r != nil {
+		defer r.close()
+	}
+	if err != nil {
+		return nil, err
+	}
+	gates, err := r.start(ctx, back, 1, domain)
+	if err != nil {
+		return nil, err
+	}
+	entries, err := r.start(ctx, front, 1, domain)
+	if err != nil {
+		return nil, err
+	}
+	entry, gate := entries[0], gates[0]
+	if err := sleep(ctx, reading); err != nil {
+		return nil, err
+	}
+	// The first requests open links and connections and fill pools.
+	if _, _, err := r.offer(ctx, entry, back, http.StatusOK, 500, time.Second); err != nil {
+		return nil, err
+	}
+	var refused, forwarded, gated, carried [][]point
+	rng := rand.New(rand.NewPCG(m.seed, 1))
+	for range m.runs {
+		var a, b, c, d []point
+		for _, i := range rng.Perm(len(rates)) {
+			p, err := m.loaded(ctx, r, entry, gate, empty, http.StatusServiceUnavailable, rates[i])
+			if err != nil {
+				return nil, err
+			}
+			a = append(a, point{p.rate, p.entry})
+			if p, err = m.loaded(ctx, r, entry, gate, back, http.StatusOK, rates[i]); err != nil {
+				return nil, err
+			}
+			b = append(b, point{p.rate, p.entry})
+			c = append(c, point{p.rate, p.gate})
+			d = append(d, point{p.requests, p.bytes})
+		}
+		refused, forwarded, gated, carried = append(refused, a), append(forwarded, b), append(gated, c), append(carried, d)
+	}
+	log := ", decision log off"
+	if decisions {
+		log = ", decision log on"
+	}
+	cpu := func(name string) quantity { return quantity{name + log, "µs CPU", "request", 1e6, 1} }
+	rows := []Row{
+		cpu("entry, refused there").row(refused),
+		cpu("entry + router, forwarded").row(forwarded),
+		cpu("gate").row(gated),
+	}
+	if decisions {
+		rows = append(rows, quantity{"link, both directions", "bytes", "request", 1, 1}.row(carried))
+	}
+	return rows, nil
+}
+
+type load struct {
+	rate, requests, entry, gate, bytes float64
+}
+
+// loaded returns the processor time of both nodes in cores, and the bytes on
+// the links of the entry node, while requests come in at a rate.
+func (m *meter) loaded(ctx context.Context, r *rig, entry, gate *node, service string, status int, rate float64) (l load, err error) {
+	var before, after [3]float64
+	read := func(to *[3]float64) {
+		for i, f := range []func() (float64, error){
+			entry.cpu, gate.cpu, func() (float64, error) { return r.linkBytes(ctx, entry) },
+		} {
+			if err == nil {
+				to[i], err = f()
+			}
+		}
+	}
+	read(&before)
+	if err != nil {
+		return l, err
+	}
+	n, seconds, err := r.offer(ctx, entry, service, status, rate, window)
+	if err != nil {
+		return l, err
+	}
+	read(&after)
+	return load{
+		rate: n / seconds, requests: n, bytes: after[2] - before[2],
+		entry: (after[0] - before[0]) / seconds, gate: (after[1] - before[1]) / seconds,
+	}, err
+}
+
+// steps measures the memory of nodes after each step to a larger size. Each
+// node is one run, since memory that a process once had is not a measurement of
+// a smaller size later.
+func steps(ctx context.Context, nodes []*node, sizes []int, wait time.Duration, grow func(size int) (float64, error)) ([][]point, error) {
+	runs := make([][]point, len(nodes))
+	for _, size := range sizes {
+		x, err := grow(size)
+		if err != nil {
+			return nil, err
+		}
+		if err := sleep(ctx, wait); err != nil {
+			return nil, err
+		}
+		for i, n := range nodes {
+			y, err := n.rss()
+			if err != nil {
+				return nil, err
+			}
+			runs[i] = append(runs[i], point{x, y})
+		}
+	}
+	return runs, nil
+}
+
+func memory(name, per string, perSize float64) quantity {
+	return quantity{name, "KB RSS", per, 1e-3, perSize}
+}
+
+// links measures memory for each open link.
+func (m *meter) links(ctx context.Context) ([]Row, error) {
+	return m.memory(ctx, back, func(r *rig, nodes []*node) ([]Row, error) {
+		var peers []*peer
+		defer func() {
+			for _, p := range peers {
+				p.manager.Close()
+			}
+		}()
+		runs, err := steps(ctx, nodes, linkCounts, settle, func(size int) (float64, error) {
+			for len(peers) < size {
+				p := newPeer(fmt.Sprintf("127.0.2.%d:%d", len(peers)/200+1, 1000+len(peers)), domain, uint64(len(peers)+1))
+				peers = append(peers, p)
+				for _, n := range nodes {
+					if _, err := p.manager.Get(ctx, n.link); err != nil {
+						return 0, err
+					}
+				}
+			}
+			return float64(size), nil
+		})
+		return []Row{memory("open link, idle", "link", 1).row(runs)}, err
+	})
+}
+
+// records measures memory for records that the gate keeps.
+func (m *meter) records(ctx context.Context) ([]Row, error) {
+	return m.memory(ctx, back, func(r *rig, nodes []*node) ([]Row, error) {
+		p := newPeer("127.0.2.1:1000", domain, 1)
+		defer p.manager.Close()
+		done := 0
+		runs, err := steps(ctx, nodes, recordCounts, settle, func(size int) (float64, error) {
+			for _, n := range nodes {
+				if err := p.run(ctx, n, done, size); err != nil {
+					return 0, err
+				}
+			}
+			done = size
+			return float64(size), nil
+		})
+		return []Row{memory(fmt.Sprintf("gate records with answers of %d bytes", bodyBytes), "1,000 records", 1000).row(runs)}, err
+	})
+}
+
+// requestsInFlight measures memory for requests that wait for the backend
+// server, at the entry node and at the gate.
+func (m *meter) requestsInFlight(ctx context.Context) ([]Row, error) {
+	var atEntry, atGate [][]point
+	for range m.runs {
+		_, err := m.memory(ctx, "", func(r *rig, _ []*node) ([]Row, error) {
+			gates, err := r.start(ctx, back, 1, domain)
+			if err != nil {
+				return nil, err
+			}
+			entries, err := r.start(ctx, front, 1, domain)
+			if err != nil {
+				return nil, err
+			}
+			if err := sleep(ctx, reading); err != nil {
+				return nil, err
+			}
+			defer close(r.release)
+			runs, err := steps(ctx, []*node{entries[0], gates[0]}, inFlight, settle/2, func(size int) (float64, error) {
+				return float64(size), r.hold(ctx, entries[0], back, size)
+			})
+			if err != nil {
+				return nil, err
+			}
+			atEntry, atGate = append(atEntry, runs[0]), append(atGate, runs[1])
+			return nil, nil
+		})
+		if err != nil {
+			return nil, err
+		}
+	}
+	return []Row{
+		memory("request in flight at the entry node", "request", 1).row(atEntry),
+		memory("request in flight at the gate", "request", 1).row(atGate),
+	}, nil
+}
+
+// instances measures memory for instances of the node's own domain.
+func (m *meter) instances(ctx context.Context) ([]Row, error) {
+	return m.memory(ctx, back, func(r *rig, nodes []*node) ([]Row, error) {
+		runs, err := steps(ctx, nodes, instanceCounts, reading, func(size int) (float64, error) {
+			var list []publisher.Instance
+			for i := range size - len(nodes) {
+				list = append(list, publisher.Instance{
+					Service: back, Address: fmt.Sprintf("127.0.%d.%d:9", 3+i/250, 1+i%250), Domain: domain, Region: region, State: "Live",
+				})
+			}
+			return float64(size), r.publisher.SetInstances(list...)
+		})
+		return []Row{memory("known instances", "1,000 instances", 1000).row(runs)}, err
+	})
+}
+
+// items measures memory for the items of the release.
+func (m *meter) items(ctx context.Context) ([]Row, error) {
+	return m.memory(ctx, back, func(r *rig, nodes []*node) ([]Row, error) {
+		runs, err := steps(ctx, nodes, itemCounts, reading, func(size int) (float64, error) {
+			var s releaser.Section
+			for i := r.items(); i < size; i++ {
+				s.Services = append(s.Services, releaser.Service{
+					Name: fmt.Sprintf("service-%d", i), Slots: 160, Connections: 1000, RetryRatio: 0.1, QueueTime: 50 * time.Millisecond, QueueLength: 100,
+				})
+			}
+			if err := r.publish(s); err != nil {
+				return 0, err
+			}
+			return float64(r.items()), nil
+		})
+		return []Row{memory("release items", "1,000 items", 1000).row(runs)}, err
+	})
+}
+
+// memory runs a measurement with one node of the service for each run.
+func (m *meter) memory(ctx context.Context, service string, measure func(*rig, []*node) ([]Row, error)) ([]Row, error) {
+	r, err := newRig(true, domain)
+	if r != nil {
+		defer r.close()
+	}
+	if err != nil {
+		return nil, err
+	}
+	var nodes []*node
+	if service != "" {
+		if nodes, err = r.start(ctx, service, m.runs, domain); err != nil {
+			return nil, err
+		}
+	}
+	return measure(r, nodes)
+}
+
+// idle measures what nodes cost that nobody uses, with the number of nodes.
+func (m *meter) idle(ctx context.Context) ([]Row, error) {
+	series := make([][][]point, 4)
+	for i := range series {
+		series[i] = make([][]point, m.runs)
+	}
+	for _, size := range fleets {
+		if err := m.idleFleet(ctx, size, series); err != nil {
+			return nil, err
+		}
+	}
+	per := "idle node more in the fleet"
+	return []Row{
+		quantity{"idle: processor share of a node", "% of a core", per, 100, 1}.row(series[0]),
+		quantity{"idle: bytes on links of a node", "bytes/s", per, 1, 1}.row(series[1]),
+		quantity{"idle: bytes of platform answers to a node", "bytes/s", per, 1, 1}.row(series[2]),
+		quantity{"idle: calls to the platform of the fleet", "calls/s", per, 1, 1}.row(series[3]),
+	}, nil
+}
+
+func (m *meter) idleFleet(ctx context.Context, size int, series [][][]point) error {
+	r, err := newRig(true, domain, otherDomain)
+	if r != nil {
+		defer r.close()
+	}
+	if err != nil {
+		return err
+	}
+	nodes, err := r.start(ctx, back, size, domain, otherDomain)
+	if err != nil {
+		return err
+	}
+	if err := sleep(ctx, reading); err != nil {
+		return err
+	}
+	for run := range m.runs {
+		before, err := r.totals(ctx)
+		if err != nil {
+			return err
+		}
+		begin := time.Now()
+		if err := sleep(ctx, window); err != nil {
+			return err
+		}
+		seconds := time.Since(begin).Seconds()
+		after, err := r.totals(ctx)
+		if err != nil {
+			return err
+		}
+		for i := range series {
+			value := (after[i] - before[i]) / seconds
+			if i < 3 {
+				value /= float64(len(nodes))
+			}
+			series[i][run] = append(series[i][run], point{float64(size), value})
+		}
+	}
+	return nil
+}
+
+// totals returns processor time, link bytes, platform bytes and platform calls
+// over all nodes. The processor time is read before the node serves /links.
+func (r *rig) totals(ctx context.Context) (t [4]float64, err error) {
+	for _, n := range r.nodes {
+		v, err := n.cpu()
+		if err != nil {
+			return t, err
+		}
+		t[0] += v
+	}
+	t[2] = float64(r.platformBytes.Load())
+	c := r.publisher.Counts()
+	t[3] = float64(c.Reads + c.Watches)
+	for _, n := range r.nodes {
+		v, err := r.linkBytes(ctx, n)
+		if err != nil {
+			return t, err
+		}
+		t[1] += v
+	}
+	return t, nil
+}
--- /dev/null
+++ b/crocusfake/internal/meter/rig.go
@@ -0,0 +1,324 @@
+package meter
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/goccy/go-yaml"
+	"github.com/prometheus/procfs"
+
+	"crocustack/core/classifier"
+	"crocustack/core/informer"
+	"crocustack/core/releaser"
+
+	"crocustack/crocusfake/internal/experimenter"
+	"crocustack/crocusfake/internal/publisher"
+)
+
+const (
+	region = "mazowsze"
+	front  = "front"
+	back   = "back"
+	// empty is a service in the release without any instance.
+	empty = "empty"
+
+	// slots is large enough for the requests in flight that memory is measured
+	// with: after a start a node admits a tenth of the slots.
+	slots = 16384
+
+	bodyBytes   = 200
+	readyWithin = 30 * time.Second
+)
+
+// rig is a platform, one backend server for all nodes, and nodes.
+type rig struct {
+	dir       string
+	decisions bool
+	publisher *publisher.Publisher
+	servers   []*http.Server
+	platform  string
+	backend   string
+	// platformBytes counts the bytes of the platform's answers without headers.
+	platformBytes atomic.Int64
+	held          atomic.Int64
+	client        *http.Client
+	nodes         []*node
+	// failed is true when a node did not start.
+	failed bool
+
+	mu        sync.Mutex
+	note      releaser.Note
+	catalogue releaser.Catalogue
+	// release is closed to let held requests end.
+	release chan struct{}
+}
+
+// node is one crocusd process.
+type node struct {
+	service, domain              string
+	link, entry, outbound, admin string
+	process                      *experimenter.Node
+	stat                         procfs.Proc
+}
+
+// newRig starts the platform and the backend server.
+func newRig(decisions bool, domains ...string) (*rig, error) {
+	dir, err := os.MkdirTemp("", "crocusfake-capacity-")
+	if err != nil {
+		return nil, errors.Wrap(err, "create directory")
+	}
+	r := &rig{
+		dir: dir, decisions: decisions, publisher: publisher.New(publisher.Config{}), release: make(chan struct{}),
+		client: &http.Client{Timeout: time.Minute, Transport: &http.Transport{MaxIdleConnsPerHost: 2048}},
+	}
+	if r.platform, err = r.serve(r.counted(r.publisher.Handler())); err != nil {
+		return r, err
+	}
+	if r.backend, err = r.serve(http.HandlerFunc(r.answer)); err != nil {
+		return r, err
+	}
+	return r, r.publish(baseSection(domains))
+}
+
+func baseSection(domains []string) releaser.Section {
+	var s releaser.Section
+	for _, name := range []string{front, back, empty} {
+		s.Services = append(s.Services, releaser.Service{
+			Name: name, Slots: slots, Connections: slots, RetryRatio: 0.1, QueueTime: 50 * time.Millisecond, QueueLength: 100,
+		})
+		s.Kinds = append(s.Kinds, classifier.Kind{
+			Name: "post-" + name, Service: name, Methods: []string{http.MethodPost}, PathPrefix: "/",
+			Class: classifier.ClassStandard, Idempotent: true, Timeout: time.Minute, Allowance: 3,
+		})
+	}
+	s.Services[0].Calls = []string{back, empty}
+	for _, d := range domains {
+		s.Domains = append(s.Domains, releaser.Domain{Name: d, Region: region})
+	}
+	return s
+}
+
+// serve returns the address of a new server that close ends.
+func (r *rig) serve(h http.Handler) (string, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", errors.Wrap(err, "listen")
+	}
+	s := &http.Server{Handler: h, ReadHeaderTimeout: 10 * time.Second}
+	r.servers = append(r.servers, s)
+	go func() { _ = s.Serve(l) }()
+	return l.Addr().String(), nil
+}
+
+type countingWriter struct {
+	http.ResponseWriter
+	bytes *atomic.Int64
+}
+
+func (w countingWriter) Write(b []byte) (int, error) {
+	n, err := w.ResponseWriter.Write(b)
+	w.bytes.Add(int64(n))
+	return n, err
+}
+
+func (r *rig) counted(h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+		h.ServeHTTP(countingWriter{w, &r.platformBytes}, req)
+	})
+}
+
+// answer is the backend server: it echoes the body, on the path /held after the
+// requests are released.
+func (r *rig) answer(w http.ResponseWriter, req *http.Request) {
+	if req.URL.Path == "/health" {
+		_, _ = io.WriteString(w, `{"State": "Ready"}`)
+		return
+	}
+	body, err := io.ReadAll(req.Body)
+	if err != nil {
+		return
+	}
+	if req.URL.Path == "/held" {
+		r.held.Add(1)
+		defer r.held.Add(-1)
+		select {
+		case <-r.release:
+		case <-req.Context().Done():
+			return
+		}
+	}
+	w.Header().Set("Content-Type", "application/octet-stream")
+	_, _ = w.Write(body)
+}
+
+// publish puts the next note on the platform with the resulting catalogue.
+func (r *rig) publish(added releaser.Section) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	n := releaser.Note{Number: r.note.Number + 1, Added: added}
+	if r.note.Number > 0 {
+		n.Predecessor = releaser.Predecessor{Number: r.note.Number, Digest: r.note.Digest()}
+	}
+	n, err := experimenter.Normalized(n)
+	if err != nil {
+		return err
+	}
+	r.note = n
+	r.catalogue, _ = r.catalogue.With(n.Items()...)
+	return r.publisher.Put("release/current", releaser.Document(n, r.catalogue))
+}
+
+func (r *rig) items() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.catalogue.Items())
+}
+
+// start adds nodes of one service, spread over the domains, and returns when
+// all are healthy.
+func (r *rig) start(ctx context.Context, service string, count int, domains ...string) ([]*node, error) {
+	addresses, err := experimenter.Ports(4 * count)
+	if err != nil {
+		return nil, err
+	}
+	var added []*node
+	var list []publisher.Instance
+	for i := range count {
+		a := addresses[4*i:]
+		n := &node{service: service, domain: domains[i%len(domains)], link: a[0], entry: a[1], outbound: a[2], admin: a[3]}
+		added = append(added, n)
+		list = append(list, publisher.Instance{Service: service, Address: n.link, Domain: n.domain, Region: region, State: "Live"})
+	}
+	if err := r.publisher.SetInstances(list...); err != nil {
+		return nil, err
+	}
+	for _, n := range added {
+		if err := r.launch(n); err != nil {
+			return nil, err
+		}
+	}
+	ctx, cancel := context.WithTimeout(ctx, readyWithin)
+	defer cancel()
+	for _, n := range added {
+		if err := r.waitHealthy(ctx, n); err != nil {
+			r.failed = true
+			return nil, err
+		}
+	}
+	return added, nil
+}
+
+func (r *rig) launch(n *node) error {
+	file := filepath.Join(r.dir, fmt.Sprintf("%s-%d", n.service, len(r.nodes)))
+	settings := map[string]any{
+		"Node": map[string]string{
+			"Service": n.service, "Domain": n.domain, "Region": region,
+			"Link": n.link, "Entry": n.entry, "Outbound": n.outbound, "Admin": n.admin,
+		},
+		"Backend":  map[string]string{"URL": "http://" + r.backend, "HealthPath": "/health"},
+		"Platform": map[string]string{"URL": "http://" + r.platform},
+		"Log":      map[string]any{"Level": "Info", "Decisions": r.decisions},
+	}
+	if len(r.nodes) > 0 {
+		settings["Seeds"] = []string{r.nodes[0].link}
+	}
+	b, err := yaml.Marshal(settings)
+	if err != nil {
+		return errors.Wrap(err, "encode settings")
+	}
+	if err := os.WriteFile(file+".yaml", b, 0o600); err != nil {
+		return errors.Wrap(err, "write settings")
+	}
+	if n.process, err = experimenter.StartNode(file+".yaml", file+".log"); err != nil {
+		return err
+	}
+	r.nodes = append(r.nodes, n)
+	n.stat, err = procfs.NewProc(n.process.PID())
+	return errors.Wrap(err, "read /proc of node")
+}
+
+func (r *rig) waitHealthy(ctx context.Context, n *node) error {
+	for {
+		var state struct{ State string }
+		if err := r.get(ctx, n, "/health", &state); err == nil && state.State == "Ready" {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return errors.Newf("node of %s not ready (logs in %s)", n.service, r.dir)
+		case <-n.process.Done():
+			return errors.Newf("node of %s ended (logs in %s)", n.service, r.dir)
+		case <-time.After(50 * time.Millisecond):
+		}
+	}
+}
+
+func (r *rig) get(ctx context.Context, n *node, path string, v any) error {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+n.admin+path, nil)
+	if err != nil {
+		return err
+	}
+	resp, err := r.client.Do(req)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	return json.NewDecoder(resp.Body).Decode(v)
+}
+
+// linkBytes returns the bytes read and written on the open links of a node.
+func (r *rig) linkBytes(ctx context.Context, n *node) (float64, error) {
+	var links []informer.Link
+	err := r.get(ctx, n, "/links", &links)
+	var sum int64
+	for _, l := range links {
+		sum += l.BytesRead + l.BytesWritten
+	}
+	return float64(sum), errors.Wrap(err, "read /links")
+}
+
+// cpu returns the processor time of a node so far, in seconds.
+func (n *node) cpu() (float64, error) {
+	s, err := n.stat.Stat()
+	return s.CPUTime(), errors.Wrap(err, "read /proc of node")
+}
+
+// rss returns the resident memory of a node in bytes.
+func (n *node) rss() (float64, error) {
+	s, err := n.stat.NewStatus()
+	return float64(s.VmRSS), errors.Wrap(err, "read /proc of node")
+}
+
+// close ends all nodes and servers and removes the logs, unless a node failed.
+func (r *rig) close() {
+	for _, n := range r.nodes {
+		n.process.Kill()
+	}
+	for _, s := range r.servers {
+		_ = s.Close()
+	}
+	r.client.CloseIdleConnections()
+	if !r.failed {
+		_ = os.RemoveAll(r.dir)
+	}
+}
+
+// sleep waits and returns early with an error when ctx ends.
+func sleep(ctx context.Context, d time.Duration) error {
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-time.After(d):
+		return nil
+	}
+}
