meter: hold ports until the node listens

Ruled out: keeping a copy of the old function, which gave ports out twice. Conclusion: experimenter exports Reserve.

--- a/crocusfake/internal/experimenter/launch.go
+++ b/crocusfake/internal/experimenter/launch.go
@@ -31,8 +31,20 @@
 // Kill ends the process at once and returns when it is gone.
 func (n *Node) Kill() { n.p.kill() }
 
-// Ports returns n free TCP addresses of the loopback interface.
-func Ports(n int) ([]string, error) { return ports(n) }
+// Reserve returns n free TCP addresses of the loopback interface. No other
+// listener is given them until they are released.
+func Reserve(n int) (addresses []string, release func(addresses ...string), err error) {
+	var r reservation
+	for range n {
+		a, err := r.take()
+		if err != nil {
+			r.release(addresses...)
+			return nil, nil, err
+		}
+		addresses = append(addresses, a)
+	}
+	return addresses, r.release, nil
+}
 
 // NewHead returns a head with the parameters, given as names and values, and
 // the load average.
--- a/crocusfake/internal/meter/rig.go
+++ b/crocusfake/internal/meter/rig.go
@@ -187,10 +187,11 @@
 // start adds nodes of one service, spread over the domains, and returns when
 // all are healthy.
 func (r *rig) start(ctx context.Context, service string, count int, domains ...string) ([]*node, error) {
-	addresses, err := experimenter.Ports(4 * count)
+	addresses, release, err := experimenter.Reserve(4 * count)
 	if err != nil {
 		return nil, err
 	}
+	defer release(addresses...)
 	var added []*node
 	var list []publisher.Instance
 	for i := range count {
@@ -203,6 +204,7 @@
 		return nil, err
 	}
 	for _, n := range added {
+		release(n.link, n.entry, n.outbound, n.admin)
 		if err := r.launch(n); err != nil {
 			return nil, err
 		}
