meter: processor time of idle links, bytes of decision log and release document

Cause: a node with many links wakes for each of them, and readers fetch the whole document for each note; neither had a slope. Ruled out: estimating both from the code. Before: no figures.

--- a/crocusfake/internal/meter/measure.go
+++ b/crocusfake/internal/meter/measure.go
@@ -62,10 +62,10 @@
 	if _, _, err := r.offer(ctx, entry, back, http.StatusOK, 500, time.Second); err != nil {
 		return nil, err
 	}
-	var refused, forwarded, gated, carried [][]point
+	var refused, forwarded, gated, carried, logged [][]point
 	rng := rand.New(rand.NewPCG(m.seed, 1))
 	for range m.runs {
-		var a, b, c, d []point
+		var a, b, c, d, e []point
 		for _, i := range rng.Perm(len(rates)) {
 			p, err := m.loaded(ctx, r, entry, gate, empty, http.StatusServiceUnavailable, rates[i])
 			if err != nil {
@@ -78,8 +78,10 @@
 			b = append(b, point{p.rate, p.entry})
 			c = append(c, point{p.rate, p.gate})
 			d = append(d, point{p.requests, p.bytes})
+			e = append(e, point{p.requests, p.logged})
 		}
-		refused, forwarded, gated, carried = append(refused, a), append(forwarded, b), append(gated, c), append(carried, d)
+		refused, forwarded, gated = append(refused, a), append(forwarded, b), append(gated, c)
+		carried, logged = append(carried, d), append(logged, e)
 	}
 	log := ", decision log off"
 	if decisions {
@@ -92,22 +94,24 @@
 		cpu("gate").row(gated),
 	}
 	if decisions {
-		rows = append(rows, quantity{"link, both directions", "bytes", "request", 1, 1}.row(carried))
+		rows = append(rows,
+			quantity{"link, both directions", "bytes", "request", 1, 1}.row(carried),
+			quantity{"decision log of entry node and gate", "bytes", "request", 1, 1}.row(logged))
 	}
 	return rows, nil
 }
 
 type load struct {
-	rate, requests, entry, gate, bytes float64
+	rate, requests, entry, gate, bytes, logged float64
 }
 
 // loaded returns the processor time of both nodes in cores, and the bytes on
 // the links of the entry node, while requests come in at a rate.
 func (m *meter) loaded(ctx context.Context, r *rig, entry, gate *node, service string, status int, rate float64) (l load, err error) {
-	var before, after [3]float64
-	read := func(to *[3]float64) {
+	var before, after [4]float64
+	read := func(to *[4]float64) {
 		for i, f := range []func() (float64, error){
-			entry.cpu, gate.cpu, func() (float64, error) { return r.linkBytes(ctx, entry) },
+			entry.cpu, gate.cpu, func() (float64, error) { return r.linkBytes(ctx, entry) }, r.logBytes,
 		} {
 			if err == nil {
 				to[i], err = f()
@@ -124,7 +128,7 @@
 	}
 	read(&after)
 	return load{
-		rate: n / seconds, requests: n, bytes: after[2] - before[2],
+		rate: n / seconds, requests: n, bytes: after[2] - before[2], logged: after[3] - before[3],
 		entry: (after[0] - before[0]) / seconds, gate: (after[1] - before[1]) / seconds,
 	}, err
 }
@@ -157,7 +161,7 @@
 	return quantity{name, "KB RSS", per, 1e-3, perSize}
 }
 
-// links measures memory for each open link.
+// links measures memory and processor time for each open link without traffic.
 func (m *meter) links(ctx context.Context) ([]Row, error) {
 	return m.memory(ctx, back, func(r *rig, nodes []*node) ([]Row, error) {
 		var peers []*peer
@@ -166,6 +170,7 @@
 				p.manager.Close()
 			}
 		}()
+		busy := make([][]point, len(nodes))
 		runs, err := steps(ctx, nodes, linkCounts, settle, func(size int) (float64, error) {
 			for len(peers) < size {
 				p := newPeer(fmt.Sprintf("127.0.2.%d:%d", len(peers)/200+1, 1000+len(peers)), domain, uint64(len(peers)+1))
@@ -176,12 +181,36 @@
 					}
 				}
 			}
+			for i, n := range nodes {
+				share, err := share(ctx, n)
+				if err != nil {
+					return 0, err
+				}
+				busy[i] = append(busy[i], point{float64(size), share})
+			}
 			return float64(size), nil
 		})
-		return []Row{memory("open link, idle", "link", 1).row(runs)}, err
+		return []Row{
+			memory("open link, idle", "link", 1).row(runs),
+			quantity{"open link, idle", "% of a core", "100 links", 100, 100}.row(busy),
+		}, err
 	})
 }
 
+// share returns the processor time of a node in cores during the window.
+func share(ctx context.Context, n *node) (float64, error) {
+	before, err := n.cpu()
+	if err != nil {
+		return 0, err
+	}
+	begin := time.Now()
+	if err := sleep(ctx, window); err != nil {
+		return 0, err
+	}
+	after, err := n.cpu()
+	return (after - before) / time.Since(begin).Seconds(), err
+}
+
 // records measures memory for records that the gate keeps.
 func (m *meter) records(ctx context.Context) ([]Row, error) {
 	return m.memory(ctx, back, func(r *rig, nodes []*node) ([]Row, error) {
@@ -254,9 +283,11 @@
 	})
 }
 
-// items measures memory for the items of the release.
+// items measures memory for the items of the release, and the length of the
+// catalogue in the document that a reader gets for each note.
 func (m *meter) items(ctx context.Context) ([]Row, error) {
 	return m.memory(ctx, back, func(r *rig, nodes []*node) ([]Row, error) {
+		var document []point
 		runs, err := steps(ctx, nodes, itemCounts, reading, func(size int) (float64, error) {
 			var s releaser.Section
 			for i := r.items(); i < size; i++ {
@@ -267,9 +298,13 @@
 			if err := r.publish(s); err != nil {
 				return 0, err
 			}
+			document = append(document, point{float64(r.items()), r.documentBytes()})
 			return float64(r.items()), nil
 		})
-		return []Row{memory("release items", "1,000 items", 1000).row(runs)}, err
+		return []Row{
+			memory("release items", "1,000 items", 1000).row(runs),
+			quantity{"release/current without a note", "KB", "1,000 items", 1e-3, 1000}.row([][]point{document}),
+		}, err
 	})
 }
 
--- a/crocusfake/internal/meter/rig.go
+++ b/crocusfake/internal/meter/rig.go
@@ -289,6 +289,30 @@
 	return float64(sum), errors.Wrap(err, "read /links")
 }
 
+// logBytes returns the length of the logs of all nodes.
+func (r *rig) logBytes() (float64, error) {
+	files, err := filepath.Glob(filepath.Join(r.dir, "*.log"))
+	if err != nil {
+		return 0, errors.Wrap(err, "list logs")
+	}
+	var sum int64
+	for _, f := range files {
+		st, err := os.Stat(f)
+		if err != nil {
+			return 0, errors.Wrap(err, "read log")
+		}
+		sum += st.Size()
+	}
+	return float64(sum), nil
+}
+
+// documentBytes returns the length of release/current without the newest note.
+func (r *rig) documentBytes() float64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return float64(len(releaser.Document(releaser.Note{}, r.catalogue)))
+}
+
 // cpu returns the processor time of a node so far, in seconds.
 func (n *node) cpu() (float64, error) {
 	s, err := n.stat.Stat()
