--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build test lint generate demo
+.PHONY: build test lint generate demo faults overload capacity soak
 
 MODULES := core crocusctl crocusd crocusfake
 
@@ -20,3 +20,18 @@
 
 demo: build
 	bin/crocusfake demo
+
+# Mixed load under a seeded schedule of faults; exits non-zero on a breach.
+SEED ?= 1
+faults: build
+	bin/crocusfake faults --seed $(SEED)
+
+overload: build
+	bin/crocusfake overload
+
+capacity: build
+	bin/crocusfake capacity
+
+# A longer run over many seeds.
+soak: build
+	for seed in $$(seq 1 20); do bin/crocusfake faults --seed $$seed || exit 1; done
