experimenter: queue time of about 2.5 service times

Cause: a queue time of 50 ms is less than one service time (60 ms) of the deep service, so requests were shed that the next free slot could have taken.

--- a/crocusfake/internal/experimenter/mesh.go
+++ b/crocusfake/internal/experimenter/mesh.go
@@ -132,7 +132,7 @@
 		calls := make(map[string]bool)
 		out := releaser.Service{
 			Name: m.name, Slots: m.slots, Connections: m.connections,
-			RetryRatio: 0.1, QueueTime: 50 * time.Millisecond, QueueLength: 100,
+			RetryRatio: 0.1, QueueTime: 150 * time.Millisecond, QueueLength: 100,
 		}
 		for _, r := range m.routes {
 			for _, c := range r.Calls {
