synchronizer: bounded exchanges, no endless answers, first lists announced

Cause: with 300 nodes, readers answered each other's equal digests without end: about 7 messages a second for each node instead of 1.3. Replies to pulls and first lists of a domain counted as news and were pushed to all control peers. A node that found only a rejected release reported ready.

Ruled out: remembering unanswered digests (one lost message restarts the endless answers); an additional field in Digest.

Conclusion: readers answer only nodes that are not readers; an exchange of sections starts at most every 250 ms; transfers are announced, not pushed. The effect of announcing transfers was not measured on its own.

--- a/core/watcher/planner.go
+++ b/core/watcher/planner.go
@@ -176,11 +176,9 @@
 	return k.done || k.failures > 0
 }
 
-// ReleaseTried tells whether a read of the release was answered or has failed.
-func (p *Planner) ReleaseTried() bool {
-	k := p.keys[ReleaseKey]
-	return k.done || k.failures > 0
-}
+// ReleaseAbsent tells whether the last read of the release failed or found no
+// such key.
+func (p *Planner) ReleaseAbsent() bool { return p.keys[ReleaseKey].failures > 0 }
 
 // Mode returns how the node treats a key at this time.
 func (p *Planner) Mode(now time.Duration, key string) Mode {
--- a/core/watcher/table.go
+++ b/core/watcher/table.go
@@ -196,6 +196,9 @@
 // Domains returns the names of the domains with held instances, sorted.
 func (t Table) Domains() []string { return slices.Sorted(maps.Keys(t.domains)) }
 
+// Complete returns the version of the last full list applied for a domain, or 0.
+func (t Table) Complete(domain string) uint64 { return t.complete[domain] }
+
 // Len returns the number of records, including those that are gone.
 func (t Table) Len() int { return len(t.records) }
 
--- a/crocusd/internal/synchronizer/engine.go
+++ b/crocusd/internal/synchronizer/engine.go
@@ -27,6 +27,13 @@
 	maxPush = 16 << 10
 	// maxMessage is the size at which replies to a pull are split.
 	maxMessage = 64 << 10
+	// exchangePause bounds how often a node answers a differing digest with the
+	// digests of its sections and cells, about 10 KB at full scale. When a whole
+	// fleet starts, every comparison finds a difference.
+	exchangePause = 250 * time.Millisecond
+	// replyTime is the time after a pull or an answered digest during which
+	// updates from that peer count as transfers rather than news.
+	replyTime = 2 * time.Second
 	// joinAttempts is the number of unanswered pulls after which a newcomer
 	// stops waiting for peers; each has one comparison interval to be answered.
 	joinAttempts = 3
@@ -57,11 +64,18 @@
 	table     watcher.Table
 	// scopes holds the scope of each peer with an open link.
 	scopes map[string]watcher.Scope
-	// probed holds the peers that were sent a digest and have not answered.
-	probed map[string]bool
 	// wanted holds the services that the node asked for at run time.
 	wanted map[string]bool
 	out    []outgoing
+	// expecting holds, for each peer that was asked for records, the time until
+	// which its updates count as transfers.
+	expecting map[string]time.Duration
+	// announce is true when something was learned that is not pushed; the next
+	// tick sends a short digest to the control peers.
+	announce bool
+	// nextExchange and nextPull are the times of the next exchange that a
+	// differing digest or a list of sections may start.
+	nextExchange, nextPull time.Duration
 
 	nextComparison time.Duration
 	reader         bool
@@ -82,7 +96,8 @@
 		cfg: cfg, log: cfg.Log, random: random,
 		planner:  watcher.NewPlanner(cfg.Planner, now, random.Float64()),
 		spreader: spreader.New(cfg.Spreader, cfg.Seed),
-		scopes:   make(map[string]watcher.Scope), probed: make(map[string]bool), wanted: make(map[string]bool),
+		scopes:   make(map[string]watcher.Scope), wanted: make(map[string]bool),
+		expecting: make(map[string]time.Duration),
 		// Nodes that start together spread their comparisons over the interval.
 		nextComparison: now + time.Duration(random.Int64N(int64(comparisonInterval))),
 		changed:        true,
@@ -147,6 +162,12 @@
 			e.join(now)
 		}
 	}
+	if e.announce {
+		e.announce = false
+		for _, p := range e.spreader.Releases("") {
+			e.probe(p)
+		}
+	}
 	e.refresh(now)
 	return e.planner.Next(now, e.random.Float64)
 }
@@ -162,6 +183,7 @@
 		return
 	}
 	e.joinAttempts++
+	e.expecting[peer] = now + replyTime
 	e.send(peer, &encoder.Control{Message: &encoder.Control_Pull{Pull: &encoder.Pull{Sections: []string{everyItem, everyCell}}}})
 }
 
@@ -226,7 +248,7 @@
 		}
 		e.spreader.SetMembers(now, local, remote)
 	}
-	if !e.ready && e.joined && e.planner.Listed() && (e.view.Number > 0 || e.planner.ReleaseTried()) {
+	if !e.ready && e.joined && e.planner.Listed() && (e.view.Number > 0 || e.planner.ReleaseAbsent()) {
 		e.ready, e.changed = true, true
 		e.log.Info("ready", "Number", e.view.Number, "Instances", e.table.Len())
 	}
@@ -246,9 +268,16 @@
 			e.log.Error(err, "instance list rejected", "Key", key, "Version", v.Version)
 			return
 		}
+		// The difference between two lists is news. The first list read is not:
+		// all readers of a starting fleet have it.
+		first := e.table.Complete(domain) == 0
 		t, changed := e.table.WithList(now, domain, v.Version, list)
 		e.table = t
 		e.refresh(now)
+		if first {
+			e.announce = e.announce || len(changed) > 0
+			return
+		}
 		e.push("", nil, changed)
 		return
 	}
@@ -302,9 +331,7 @@
 		size += proto.Size(records[k])
 	}
 	if size > maxPush {
-		for _, p := range e.spreader.Releases(from) {
-			e.probe(p)
-		}
+		e.announce = true
 		return
 	}
 	if len(messages) > 0 {
@@ -362,7 +389,6 @@
 	if peer == "" || peer == e.cfg.Address {
 		return
 	}
-	e.probed[peer] = true
 	e.sendDigest(peer, e.digest(peer))
 }
 
@@ -381,7 +407,7 @@
 	case *encoder.Control_Update:
 		e.receiveUpdate(now, from, m.Update)
 	case *encoder.Control_Digest:
-		e.receiveDigest(from, m.Digest)
+		e.receiveDigest(now, from, m.Digest)
 	case *encoder.Control_Pull:
 		e.receivePull(from, m.Pull)
 	}
@@ -396,6 +422,9 @@
 	}
 	var items []releaser.Item
 	for _, m := range u.GetItems() {
+		if old, ok := e.catalogue.Item(m.GetName()); ok && old.Stamp.Compare(releaser.Stamp{Number: m.GetStamp().GetNumber(), Digest: m.GetStamp().GetDigest()}) > 0 {
+			continue // Not worth the checks.
+		}
 		i, err := releaser.DecodeItem(m)
 		if err != nil {
 			e.log.Error(err, "item rejected", "Peer", from)
@@ -421,7 +450,12 @@
 	if len(changed) > 0 {
 		e.table, e.changed = t, true
 	}
-	e.push(from, news, append(changed, passed...))
+	if until, ok := e.expecting[from]; ok && now < until {
+		e.announce = e.announce || len(news) > 0 || len(changed) > 0
+	} else {
+		delete(e.expecting, from)
+		e.push(from, news, append(changed, passed...))
+	}
 	// Gone records have no digest, so a peer that missed one learns of it only
 	// when it offers the outdated record.
 	back := e.emptyUpdate()
@@ -437,7 +471,7 @@
 
 // receiveDigest handles the two forms of Digest: the short one that opens a
 // comparison, and the list of sections and cells that answers it.
-func (e *engine) receiveDigest(from string, d *encoder.Digest) {
+func (e *engine) receiveDigest(now time.Duration, from string, d *encoder.Digest) {
 	short := true
 	var theirCells *encoder.SectionDigest
 	for _, s := range d.GetSections() {
@@ -447,23 +481,27 @@
 			short = false
 		}
 	}
-	answered := e.probed[from]
-	delete(e.probed, from)
 	if !short {
-		e.receiveDetail(from, d)
+		e.receiveDetail(now, from, d)
 		return
 	}
 	mine := e.digest(from)
 	sameItems := mine.Root == d.GetRoot()
 	sameCells := theirCells == nil || len(mine.Sections) == 0 || mine.Sections[0].Digest == theirCells.GetDigest()
 	if sameItems && sameCells {
-		// Readers answer, because the members of their domain need to know
-		// that they live. An answer to an own probe is not answered again.
-		if e.reader && !answered {
+		// Readers answer other nodes, because the members of their domain need
+		// to know that they live. They don't answer readers, whose answers
+		// would be answered in turn without end.
+		if s, ok := e.scopes[from]; ok && e.reader && !s.All {
 			e.sendDigest(from, mine)
 		}
 		return
 	}
+	if now < e.nextExchange {
+		return // The next comparison finds the difference again.
+	}
+	e.nextExchange = now + exchangePause
+	e.expecting[from] = now + replyTime
 	detail := &encoder.Digest{Root: mine.Root, NoteNumber: mine.NoteNumber, Sections: mine.Sections}
 	var pull []string
 	if !sameItems {
@@ -497,7 +535,7 @@
 
 // receiveDetail pulls the sections and cells that differ and sends the own
 // content of these, so that one exchange brings both sides to the join.
-func (e *engine) receiveDetail(from string, d *encoder.Digest) {
+func (e *engine) receiveDetail(now time.Duration, from string, d *encoder.Digest) {
 	sections := e.catalogue.Sections()
 	cells := e.table.Cells(e.scopes[from])
 	theirs := make(map[string]uint64)
@@ -523,7 +561,12 @@
 			differ[name] = true
 		}
 	}
-	pull := slices.Sorted(maps.Keys(differ))
+	var pull []string
+	if now >= e.nextPull && len(differ) > 0 {
+		e.nextPull = now + exchangePause
+		e.expecting[from] = now + replyTime
+		pull = slices.Sorted(maps.Keys(differ))
+	}
 	if hasCells {
 		e.sendInterest(from)
 		for c := range cells {
@@ -628,12 +671,11 @@
 
 func (e *engine) closed(address string) {
 	delete(e.scopes, address)
-	delete(e.probed, address)
+	delete(e.expecting, address)
 }
 
 func (e *engine) failed(now time.Duration, address string) {
 	e.spreader.Fail(now, address)
-	delete(e.probed, address)
 	if !e.joined {
 		// Another peer is asked at once; a stale list may name many dead ones.
 		e.nextComparison = now
--- a/crocusd/internal/synchronizer/engine_test.go
+++ b/crocusd/internal/synchronizer/engine_test.go
@@ -33,6 +33,7 @@
 	stale   map[string]int // How many versions behind a domain reads.
 	down    map[string]bool
 	started uint64
+	sent    int
 }
 
 type node struct {
@@ -141,6 +142,7 @@
 				})
 			}
 		}
+		f.sent++
 		if f.random.Float64() >= f.loss {
 			f.flying = append(f.flying, flight{f.now + time.Duration(f.random.IntN(30))*time.Millisecond, k, to, o.message})
 		}
@@ -287,3 +289,25 @@
 		}
 	})
 }
+
+// TestQuiet guards against messages that answer each other without end: nodes
+// that agree send one digest a second, and only readers answer.
+func TestQuiet(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := newFleet(t)
+		n := releaser.Note{Number: 1}
+		for _, d := range domains {
+			n.Added.Domains = append(n.Added.Domains, releaser.Domain{Name: d, Region: "r"})
+		}
+		f.put(watcher.ReleaseKey, releaser.Document(n, releaser.Catalogue{}))
+		f.run(20 * time.Second)
+		if d := f.check(); d != "" {
+			t.Fatal(d)
+		}
+		f.sent = 0
+		f.run(10 * time.Second)
+		if most := 2 * 10 * len(f.nodes); f.sent > most || f.sent < most/2 {
+			t.Fatalf("%d messages in 10 s, at most %d expected", f.sent, most)
+		}
+	})
+}
