--- a/crocusd/internal/tracer/registry.go
+++ b/crocusd/internal/tracer/registry.go
@@ -117,18 +117,36 @@
 	return a
 }
 
-// traceIDLength is the length of a trace id in traceparent (W3C Trace Context).
-const traceIDLength = 32
+// Lengths of the fields of traceparent (W3C Trace Context, section 3.2).
+const (
+	versionLength  = 2
+	traceIDLength  = 32
+	parentIDLength = 16
+	flagsLength    = 2
+)
 
 // TraceID returns the trace id of a traceparent header (W3C Trace Context,
-// section 3.2), or "" when the header is malformed.
+// section 3.2), or "" when the header is malformed. Versions above 00 may have
+// further fields.
 func TraceID(traceparent string) string {
 	parts := strings.Split(traceparent, "-")
-	if len(parts) < 4 || len(parts[1]) != traceIDLength || strings.Trim(parts[1], "0123456789abcdef") != "" {
+	if len(parts) < 4 || (parts[0] == "00" && len(parts) > 4) {
 		return ""
 	}
-	if strings.Trim(parts[1], "0") == "" {
+	version, trace, parent, flags := parts[0], parts[1], parts[2], parts[3]
+	switch {
+	case !isHex(version, versionLength), version == "ff",
+		!isHex(trace, traceIDLength), isZero(trace),
+		!isHex(parent, parentIDLength), isZero(parent),
+		!isHex(flags, flagsLength):
 		return ""
 	}
-	return parts[1]
+	return trace
+}
+
+// isHex tells whether the text is a number of lower-case hex digits.
+func isHex(s string, length int) bool {
+	return len(s) == length && strings.Trim(s, "0123456789abcdef") == ""
 }
+
+func isZero(s string) bool { return strings.Trim(s, "0") == "" }
