--- a/crocusd/internal/runner/peers.go
+++ b/crocusd/internal/runner/peers.go
@@ -34,6 +34,8 @@
 
 // Closed implements linker.Handler.
 func (n *Node) Closed(l *linker.Link, _ error) {
+	// The peer may have been replaced; its tickets are of no use then.
+	n.forward.Leaving(l.Address())
 	if n.links.Lookup(l.Address()) == nil {
 		n.sync.Closed(l.Address())
 	}
@@ -85,9 +87,11 @@
 	links := []informer.Link{}
 	for _, l := range n.links.Links() {
 		p := l.Peer()
+		read, written := l.Traffic()
 		links = append(links, informer.Link{
 			Address: l.Address(), Service: p.GetIncarnation().GetService(), Domain: p.GetDomain(),
 			BootID: informer.Digest(p.GetIncarnation().GetBootId()), Streams: int(l.Pending()), Opened: l.Since,
+			BytesRead: read, BytesWritten: written,
 		})
 	}
 	return links
@@ -96,7 +100,14 @@
 // Limits implements administrator.Node.
 func (n *Node) Limits() informer.Limits {
 	ld := n.handler.Load()
-	return informer.Limits{Limit: ld.Limit, InFlight: ld.InFlight, Queued: ld.Queued, Level: ld.Level}
+	limits := informer.Limits{Slots: n.slots(n.view()), Limit: ld.Limit, InFlight: ld.InFlight, Queued: ld.Queued, Level: ld.Level}
+	for _, l := range n.levels.All(n.clock.Now()) {
+		limits.Levels = append(limits.Levels, informer.Level(l))
+	}
+	slices.SortFunc(limits.Levels, func(a, b informer.Level) int {
+		return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.Kind, b.Kind))
+	})
+	return limits
 }
 
 // Release implements administrator.Node.
