linker: one timer watches all links

Cause: each link had a goroutine and a ticker of 100 ms, so that idle links woke the process 10 times a second each. A service that every node calls has about 2,700 links to each upstream. Ruled out: starting the ticker with the first pending exchange of a link (a busy node would still have one for each link, and starting it races with the end of the last exchange).

--- a/core/linker/link.go
+++ b/core/linker/link.go
@@ -11,6 +11,7 @@
 	"github.com/hashicorp/yamux"
 	"google.golang.org/protobuf/proto"
 
+	"crocustack/core/detector"
 	"crocustack/core/encoder"
 )
 
@@ -78,6 +79,10 @@
 	// monotonic reading; the handshake is the first.
 	roundTrip atomic.Pointer[time.Time]
 	closed    atomic.Bool
+	// silence and seen, the last read that silence knows of, belong to the
+	// watch of the manager.
+	silence *detector.Silence
+	seen    int64
 }
 
 // Peer returns what the peer said of itself in the handshake.
--- a/core/linker/manager.go
+++ b/core/linker/manager.go
@@ -63,12 +63,15 @@
 	// all holds every open link.
 	all    map[*Link]struct{}
 	closed bool
-	wg     sync.WaitGroup
+	// watching is true once watchAll runs, and done ends it.
+	watching bool
+	done     chan struct{}
+	wg       sync.WaitGroup
 }
 
 // New returns a manager that hands what comes in to h.
 func New(cfg Config, log logr.Logger, h Handler) *Manager {
-	return &Manager{cfg: cfg, log: log, handler: h, links: make(map[string]*Link), all: make(map[*Link]struct{})}
+	return &Manager{cfg: cfg, log: log, handler: h, links: make(map[string]*Link), all: make(map[*Link]struct{}), done: make(chan struct{})}
 }
 
 // Serve accepts links until the listener is closed.
@@ -138,7 +141,10 @@
 // Close closes all links and waits for their goroutines.
 func (m *Manager) Close() {
 	m.mu.Lock()
-	m.closed = true
+	if !m.closed {
+		m.closed = true
+		close(m.done)
+	}
 	m.mu.Unlock()
 	for _, l := range m.Links() {
 		_ = l.sess.Close()
@@ -174,6 +180,7 @@
 	_ = conn.SetDeadline(time.Time{})
 	l.Since = time.Now()
 	l.roundTrip.Store(&l.Since)
+	l.silence, l.seen = detector.NewSilence(m.cfg.SilentAfter, m.cfg.AbandonAfter), l.conn.lastRead.Load()
 	if !m.register(l) {
 		_ = l.sess.Close()
 		return nil, errors.New("links are closed")
@@ -181,7 +188,6 @@
 	m.handler.Opened(l)
 	go m.serveStreams(l)
 	go m.serveControl(l)
-	go m.watch(l)
 	return l, nil
 }
 
@@ -225,7 +231,12 @@
 	}
 	m.links[l.Address()] = l
 	m.all[l] = struct{}{}
-	m.wg.Add(3)
+	m.wg.Add(2)
+	if !m.watching {
+		m.watching = true
+		m.wg.Add(1)
+		go m.watchAll()
+	}
 	return true
 }
 
@@ -269,41 +280,51 @@
 	}
 }
 
-// watch probes the link while requests wait on it in silence, and closes it
-// when it stays silent or idle.
-func (m *Manager) watch(l *Link) {
+// watchAll probes links on which requests wait in silence, and closes those that
+// stay silent or idle. One timer serves all links: with one for each, 1,000 idle
+// links woke the process 10,000 times a second.
+func (m *Manager) watchAll() {
 	defer m.wg.Done()
 	ticker := time.NewTicker(m.cfg.SilentAfter / 3)
 	defer ticker.Stop()
-	silence := detector.NewSilence(m.cfg.SilentAfter, m.cfg.AbandonAfter)
-	seen := l.conn.lastRead.Load()
 	for {
 		select {
-		case <-l.sess.CloseChan():
+		case <-m.done:
 			return
 		case t := <-ticker.C:
-			now := t.Sub(l.Since)
-			if read := l.conn.lastRead.Load(); read != seen {
-				seen = read
-				silence.Read(now)
-			}
-			switch silence.Decide(now, l.Pending() > 0) {
-			case detector.ActionNone:
-			case detector.ActionProbe:
-				go func() { _ = l.Ping() }()
-			case detector.ActionAbandon:
-				m.log.Info("link abandoned", "Peer", l.Address(), "Pending", l.Pending())
-				l.Abandon()
-				return
-			}
-			if m.idle(l, t) {
-				_ = l.sess.Close()
-				return
+			for _, l := range m.Links() {
+				m.check(l, t)
 			}
 		}
 	}
 }
 
+func (m *Manager) check(l *Link, t time.Time) {
+	if l.Closed() {
+		return
+	}
+	now := t.Sub(l.Since)
+	if read := l.conn.lastRead.Load(); read != l.seen {
+		l.seen = read
+		l.silence.Read(now)
+	}
+	switch l.silence.Decide(now, l.Pending() > 0) {
+	case detector.ActionNone:
+	case detector.ActionProbe:
+		go func() { _ = l.Ping() }()
+	case detector.ActionAbandon:
+		m.log.Info("link abandoned", "Peer", l.Address(), "Pending", l.Pending())
+		l.closed.Store(true)
+		// Closing waits for the goroutines of the session.
+		go l.Abandon()
+		return
+	}
+	if m.idle(l, t) {
+		l.closed.Store(true)
+		go func() { _ = l.sess.Close() }()
+	}
+}
+
 // idle tells whether the side that opened the link should close it.
 func (m *Manager) idle(l *Link, now time.Time) bool {
 	return l.Dialed && l.Pending() == 0 && now.Sub(time.Unix(0, l.lastUse.Load())) > m.cfg.Idle
--- a/crocusfake/internal/commander/capacity.go
+++ b/crocusfake/internal/commander/capacity.go
@@ -20,10 +20,11 @@
 
 type capacityCommand struct {
 	experimentOptions
-	Runs int `long:"runs" default:"3" description:"runs of each measurement"`
+	Runs int      `long:"runs" default:"3" description:"runs of each measurement"`
+	Only []string `long:"only" description:"one measurement: requests, requests-without-log, links, in-flight, records, instances, items or idle (repeatable; default all)"`
 }
 
 func (c *capacityCommand) Run(ctx context.Context, out io.Writer) error {
-	r, err := meter.Measure(ctx, c.command(), c.Seed, c.Runs)
+	r, err := meter.Measure(ctx, c.command(), meter.Options{Seed: c.Seed, Runs: c.Runs, Only: c.Only})
 	return c.show(out, r.Head, r, err)
 }
--- a/crocusfake/internal/meter/capacity.go
+++ b/crocusfake/internal/meter/capacity.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -23,25 +24,57 @@
 	runs int
 }
 
-// Measure runs all measurements one after the other.
-func Measure(ctx context.Context, command string, seed uint64, runs int) (Capacity, error) {
+// Options select what Measure does.
+type Options struct {
+	Seed uint64
+	// Runs is the number of runs of each measurement.
+	Runs int
+	// Only names measurements of Names; empty means all.
+	Only []string
+}
+
+// Names lists the measurements in their order.
+func Names() []string {
+	var names []string
+	for _, s := range table() {
+		names = append(names, s.name)
+	}
+	return names
+}
+
+type measurement struct {
+	name    string
+	measure func(*meter, context.Context) ([]Row, error)
+}
+
+func table() []measurement {
+	return []measurement{
+		{"requests", func(m *meter, ctx context.Context) ([]Row, error) { return m.requests(ctx, true) }},
+		{"requests-without-log", func(m *meter, ctx context.Context) ([]Row, error) { return m.requests(ctx, false) }},
+		{"links", (*meter).links},
+		{"in-flight", (*meter).requestsInFlight},
+		{"records", (*meter).records},
+		{"instances", (*meter).instances},
+		{"items", (*meter).items},
+		{"idle", (*meter).idle},
+	}
+}
+
+// Measure runs the measurements one after the other.
+func Measure(ctx context.Context, command string, o Options) (Capacity, error) {
 	begin := time.Now()
-	result := Capacity{Head: experimenter.NewHead(command, seed, "Runs", strconv.Itoa(runs))}
-	m := &meter{seed: seed, runs: runs}
-	for _, s := range []struct {
-		name    string
-		measure func(context.Context) ([]Row, error)
-	}{
-		{"requests with log", func(ctx context.Context) ([]Row, error) { return m.requests(ctx, true) }},
-		{"requests without log", func(ctx context.Context) ([]Row, error) { return m.requests(ctx, false) }},
-		{"links", m.links},
-		{"requests in flight", m.requestsInFlight},
-		{"gate records", m.records},
-		{"instances", m.instances},
-		{"release items", m.items},
-		{"idle fleets", m.idle},
-	} {
-		rows, err := s.measure(ctx)
+	result := Capacity{Head: experimenter.NewHead(command, o.Seed, "Runs", strconv.Itoa(o.Runs))}
+	for _, name := range o.Only {
+		if !slices.Contains(Names(), name) {
+			return result, errors.Newf("no measurement %q, there are %s", name, strings.Join(Names(), ", "))
+		}
+	}
+	m := &meter{seed: o.Seed, runs: o.Runs}
+	for _, s := range table() {
+		if len(o.Only) > 0 && !slices.Contains(o.Only, s.name) {
+			continue
+		}
+		rows, err := s.measure(m, ctx)
 		if err != nil {
 			return result, errors.Wrapf(err, "measure %s", s.name)
 		}
