--- a/core/reporter/collector.go
+++ b/core/reporter/collector.go
@@ -254,7 +254,6 @@
 		case token.MappingEndType, token.SequenceEndType:
 			flow--
 		case token.SequenceEntryType, token.MappingKeyType, token.MappingValueType, token.TagType, token.AnchorType:
-			// Inside brackets these separate siblings, however many.
 			if flow == 0 {
 				inline++
 			}
