judger: retries of a call tree against the allowance

Cause: the largest number of attempts says nothing about promise P1 when trees differ in size. Ruled out: a bound per kind: the nested calls of a repeated run are new calls. Before: attempts per request only. Conclusion: requests at backend servers with the same key are repeats.

--- a/crocusfake/internal/commander/load.go
+++ b/crocusfake/internal/commander/load.go
@@ -37,10 +37,11 @@
 }
 
 type loadCommand struct {
-	Settings string        `long:"settings" required:"true" description:"YAML file that describes the callers"`
-	Duration time.Duration `long:"duration" default:"10s" description:"time to offer requests"`
-	Ledgers  []string      `long:"ledger" description:"base URL of a backend server to judge against, repeatable"`
-	Output   string        `long:"output" choice:"text" choice:"json" default:"text" description:"output format"`
+	Settings  string        `long:"settings" required:"true" description:"YAML file that describes the callers"`
+	Duration  time.Duration `long:"duration" default:"10s" description:"time to offer requests"`
+	Ledgers   []string      `long:"ledger" description:"base URL of a backend server to judge against, repeatable"`
+	Allowance int           `long:"allowance" default:"-1" description:"retries that one call tree may make; -1 checks nothing"`
+	Output    string        `long:"output" choice:"text" choice:"json" default:"text" description:"output format"`
 }
 
 func (c *loadCommand) Run(ctx context.Context, out io.Writer) error {
@@ -71,7 +72,7 @@
 		if err != nil {
 			return err
 		}
-		v := judger.Judge(ledgers, records)
+		v := judger.Judge(ledgers, records, c.Allowance)
 		result.Verdict = &v
 	}
 	if c.Output == "json" {
--- a/crocusfake/internal/experimenter/demo.go
+++ b/crocusfake/internal/experimenter/demo.go
@@ -113,7 +113,7 @@
 		d, r.Recovered = recovery(records, byName["before"], after)
 		r.RecoverySeconds = d.Seconds()
 	}
-	r.Verdict = judger.Judge(f.ledgers(), records)
+	r.Verdict = judger.Judge(f.ledgers(), records, allowance)
 	if policy == "Adaptive" && r.Verdict.Breaches() > 0 {
 		keep = true
 		r.Trace = f.trace(r.Verdict.Request)
@@ -169,6 +169,7 @@
 	row("false NotRun", func(l LoadResult) string { return fmt.Sprint(l.Verdict.FalseNotRun) })
 	row("NotRun for a repeat after a run", func(l LoadResult) string { return fmt.Sprint(l.Verdict.RepeatNotRun) })
 	row("attempts per request (max)", func(l LoadResult) string { return fmt.Sprint(l.Verdict.MaxAttempts) })
+	row("retries in one call tree (max, allowed 3)", func(l LoadResult) string { return fmt.Sprint(l.Verdict.MaxRetries) })
 	row("wasted work at backend servers", func(l LoadResult) string { return share(l.Verdict.Wasted) })
 	row("recovery time (s)", func(l LoadResult) string {
 		if !l.Recovered {
--- a/crocusfake/internal/experimenter/drain.go
+++ b/crocusfake/internal/experimenter/drain.go
@@ -125,7 +125,7 @@
 	for i, e := range events {
 		result.Cases[i].measure(e.member, e.at, records)
 	}
-	result.Verdict = judger.Judge(f.ledgers(), records)
+	result.Verdict = judger.Judge(f.ledgers(), records, allowance)
 	return result, nil
 }
 
--- a/crocusfake/internal/experimenter/faults.go
+++ b/crocusfake/internal/experimenter/faults.go
@@ -160,6 +160,8 @@
 	Head
 	Schedule []string
 	Goodput  map[string]float64
+	// Failures counts what callers of failed Critical requests were told last.
+	Failures map[string]int
 	// Healed is the goodput in the last seconds, after all faults were undone.
 	Healed  float64
 	Verdict judger.Verdict
@@ -182,10 +184,10 @@
 	mesh, kinds := kwitariusz(), callers()
 	mesh[1].routes = append(mesh[1].routes, worker.Route{Method: http.MethodPost, Path: "/remarks", Mean: 10 * time.Millisecond})
 	mesh[1].kinds = append(mesh[1].kinds, classifier.Kind{Name: "add-remark", Service: "ksiegi", Methods: []string{http.MethodPost},
-		PathPrefix: "/remarks", Class: classifier.ClassStandard, Timeout: callerTimeout, Allowance: 3})
+		PathPrefix: "/remarks", Class: classifier.ClassStandard, Timeout: callerTimeout, Allowance: allowance})
 	mesh[3].routes = append(mesh[3].routes, worker.Route{Method: http.MethodGet, Path: "/images", Mean: 10 * time.Millisecond, Idempotent: true, Size: large})
 	mesh[3].kinds = append(mesh[3].kinds, classifier.Kind{Name: "view-image", Service: "skany", Methods: []string{http.MethodGet},
-		PathPrefix: "/images", Class: classifier.ClassBrowse, Idempotent: true, Timeout: callerTimeout, Allowance: 3})
+		PathPrefix: "/images", Class: classifier.ClassBrowse, Idempotent: true, Timeout: callerTimeout, Allowance: allowance})
 	return mesh, append(kinds,
 		loader.Kind{Name: "add-remark", Class: "Standard", Service: "ksiegi", Method: http.MethodPost, Path: "/remarks", Share: 0.10, Timeout: callerTimeout, BodySize: 500},
 		loader.Kind{Name: "view-image", Class: "Browse", Service: "skany", Method: http.MethodGet, Path: "/images", Share: 0.05, Timeout: callerTimeout, AnswerSize: large})
@@ -232,8 +234,14 @@
 	f.settle()
 	records := l.Records()
 	result.Goodput = phaseFigures(records, whole).Goodput
+	result.Failures = make(map[string]int)
+	for _, r := range records {
+		if _, ok := r.Good(); !ok && r.Class == classes[0] {
+			result.Failures[r.LastTold()]++
+		}
+	}
 	result.Healed = loader.Summarize(records, last.contains).Share
-	result.Verdict = judger.Judge(f.ledgers(), records)
+	result.Verdict = judger.Judge(f.ledgers(), records, allowance)
 	if result.Breaches() > 0 {
 		result.Directory = f.dir
 		result.Trace = f.trace(result.Verdict.Request)
@@ -303,6 +311,8 @@
 		{"NotRun for a repeat after a run", fmt.Sprint(v.RepeatNotRun)},
 		{"Wrong answers", fmt.Sprint(v.WrongAnswers + v.WrongNested)},
 		{"Attempts per request (max)", fmt.Sprint(v.MaxAttempts)},
+		{"Retries in one call tree (max)", fmt.Sprint(v.MaxRetries)},
+		{"Failures of Critical", fmt.Sprint(r.Failures)},
 	}
 	for _, e := range slices.Concat(v.Examples, r.Release, r.Trace) {
 		rows = append(rows, []string{"Breach", e})
--- a/crocusfake/internal/experimenter/mesh.go
+++ b/crocusfake/internal/experimenter/mesh.go
@@ -27,6 +27,9 @@
 
 const callerTimeout = time.Second
 
+// allowance is the number of retries that one call tree may make.
+const allowance = 3
+
 // kwitariusz returns the services of Kwitariusz Systemy at a small size.
 func kwitariusz() []service {
 	get, post, put := http.MethodGet, http.MethodPost, http.MethodPut
@@ -36,7 +39,7 @@
 	kind := func(name, service, method, path string, class classifier.Class, idempotent bool) classifier.Kind {
 		k := classifier.Kind{
 			Name: name, Service: service, Methods: []string{method}, PathPrefix: path,
-			Class: class, Idempotent: idempotent, Timeout: callerTimeout, Allowance: 3,
+			Class: class, Idempotent: idempotent, Timeout: callerTimeout, Allowance: allowance,
 		}
 		return k
 	}
--- a/crocusfake/internal/judger/judger.go
+++ b/crocusfake/internal/judger/judger.go
@@ -25,6 +25,10 @@
 	// MaxAttempts is the largest number of requests at backend servers for one
 	// HTTP request of a caller.
 	MaxAttempts int
+	// MaxRetries is the largest number of those that repeated another one.
+	MaxRetries int
+	// ExcessRetries counts HTTP requests with more retries than allowed.
+	ExcessRetries int
 	// Wasted is the share of work that no whole answer came from.
 	Wasted   float64
 	Examples []string
@@ -34,7 +38,7 @@
 
 // Breaches is the number of broken promises.
 func (v Verdict) Breaches() int {
-	return v.DoubleRuns + v.FalseNotRun + v.WrongAnswers + v.WrongNested
+	return v.DoubleRuns + v.FalseNotRun + v.WrongAnswers + v.WrongNested + v.ExcessRetries
 }
 
 func (v *Verdict) breach(count *int, request, format string, args ...any) {
@@ -47,26 +51,25 @@
 	}
 }
 
-type attempt struct{ key, try string }
-
 // Judge compares the ledgers with the callers' records. Both must be complete:
-// callers and backend servers have come to rest.
-func Judge(ledgers []worker.Entries, records []loader.Record) Verdict {
+// callers and backend servers have come to rest. The allowance is the number of
+// retries that one call tree may make; a negative one is not checked.
+func Judge(ledgers []worker.Entries, records []loader.Record, allowance int) Verdict {
 	var v Verdict
 	begun := make(map[string][]worker.Run)
-	ran := make(map[attempt]worker.Run)
-	arrivals := make(map[string]int)
+	ran := make(map[worker.Attempt]worker.Run)
+	arrivals := make(map[worker.Attempt]int)
 	for _, l := range ledgers {
 		for _, r := range l.Runs {
 			v.Runs++
 			begun[r.Key] = append(begun[r.Key], r)
-			ran[attempt{r.Key, r.Try}] = r
+			ran[worker.Attempt{Key: r.Key, Try: r.Try}] = r
 		}
-		for tree, n := range l.Arrivals {
-			arrivals[tree] += n
-			v.MaxAttempts = max(v.MaxAttempts, arrivals[tree])
+		for a, n := range l.Arrivals {
+			arrivals[a] += n
 		}
 	}
+	v.countRetries(arrivals, allowance)
 	for key, runs := range begun {
 		if len(runs) > 1 && !runs[0].Idempotent {
 			v.breach(&v.DoubleRuns, runs[1].Request, "double run: key %s ran at %s (try %s, request %s) and %s (try %s, request %s)", key,
@@ -75,7 +78,7 @@
 	}
 	for _, l := range ledgers {
 		for _, c := range l.Nested {
-			if run, ok := ran[attempt{c.Key, c.Try}]; ok && c.Outcome == "NotRun" {
+			if run, ok := ran[worker.Attempt{Key: c.Key, Try: c.Try}]; ok && c.Outcome == "NotRun" {
 				v.breach(&v.FalseNotRun, run.Request, "false NotRun: nested call %s try %s told NotRun/%s, ran at %s (request %s)", c.Key, c.Try, c.Reason, run.Instance, run.Request)
 			}
 			if !c.Whole {
@@ -97,7 +100,7 @@
 			if t.Outcome != "NotRun" {
 				continue
 			}
-			if run, ok := ran[attempt{t.Key, fmt.Sprint(t.Number)}]; ok {
+			if run, ok := ran[worker.Attempt{Key: t.Key, Try: fmt.Sprint(t.Number)}]; ok {
 				v.breach(&v.FalseNotRun, run.Request, "false NotRun: %s key %s try %d request %s told NotRun/%s, ran at %s (request %s)",
 					r.Kind, t.Key, t.Number, t.Request, t.Reason, run.Instance, run.Request)
 			} else if len(begun[t.Key]) > 0 {
@@ -109,6 +112,24 @@
 	return v
 }
 
+// countRetries takes requests with the same key for repeats of one call. The
+// nested calls of a repeated run have other keys: they are new calls.
+func (v *Verdict) countRetries(arrivals map[worker.Attempt]int, allowance int) {
+	attempts, retries := make(map[worker.Attempt]int), make(map[worker.Attempt]int)
+	for a, n := range arrivals {
+		tree := a.Tree()
+		attempts[tree] += n
+		retries[tree] += n - 1
+	}
+	for tree, n := range retries {
+		v.MaxAttempts = max(v.MaxAttempts, attempts[tree])
+		v.MaxRetries = max(v.MaxRetries, n)
+		if allowance >= 0 && n > allowance {
+			v.breach(&v.ExcessRetries, "", "excess retries: %d in the tree of key %s try %s", n, tree.Key, tree.Try)
+		}
+	}
+}
+
 func wasted(begun map[string][]worker.Run, good map[string]bool) float64 {
 	var all, lost time.Duration
 	for key, runs := range begun {
--- a/crocusfake/internal/judger/judger_test.go
+++ b/crocusfake/internal/judger/judger_test.go
@@ -21,7 +21,9 @@
 		runs   []worker.Run
 		nested []worker.NestedCall
 		tries  []loader.Try
-		want   Verdict
+		// arrivals at two backend servers.
+		arrivals [2]map[worker.Attempt]int
+		want     Verdict
 	}{
 		"clean":             {runs: []worker.Run{run("k", "1", "a", false)}, tries: []loader.Try{whole}},
 		"double run":        {runs: []worker.Run{run("k", "1", "a", false), run("k", "1", "b", false)}, tries: []loader.Try{whole}, want: Verdict{DoubleRuns: 1}},
@@ -36,11 +38,13 @@
 		"wrong answer":        {tries: []loader.Try{{Key: "k", Number: 1, Status: 200, Outcome: "Ran"}}, want: Verdict{WrongAnswers: 1}},
 		"broken answer":       {tries: []loader.Try{{Key: "k", Number: 1, Status: 200, Outcome: "Ran", Broken: true}}},
 		"wrong nested answer": {nested: []worker.NestedCall{{Key: "k/0@a:1", Try: "1", Status: 200}}, want: Verdict{WrongNested: 1}},
+		"allowed retries":     {arrivals: [2]map[worker.Attempt]int{{{Key: "k", Try: "1"}: 2, {Key: "k/0@a:1", Try: "1"}: 1}, {{Key: "k/0@a:1", Try: "1"}: 1, {Key: "k/0@a:2", Try: "1"}: 2}}},
+		"excess retries":      {arrivals: [2]map[worker.Attempt]int{{{Key: "k", Try: "1"}: 2, {Key: "k/0@a:1", Try: "1"}: 2}, {{Key: "k/0@a:1", Try: "1"}: 2}}, want: Verdict{ExcessRetries: 1}},
 	} {
 		t.Run(name, func(t *testing.T) {
-			got := Judge([]worker.Entries{{Runs: c.runs, Nested: c.nested}}, []loader.Record{{Kind: "kind", Tries: c.tries}})
+			got := Judge([]worker.Entries{{Runs: c.runs, Nested: c.nested, Arrivals: c.arrivals[0]}, {Arrivals: c.arrivals[1]}}, []loader.Record{{Kind: "kind", Tries: c.tries}}, 3)
 			if got.DoubleRuns != c.want.DoubleRuns || got.FalseNotRun != c.want.FalseNotRun || got.RepeatNotRun != c.want.RepeatNotRun ||
-				got.WrongAnswers != c.want.WrongAnswers || got.WrongNested != c.want.WrongNested || got.Wasted != c.want.Wasted {
+				got.WrongAnswers != c.want.WrongAnswers || got.WrongNested != c.want.WrongNested || got.Wasted != c.want.Wasted || got.ExcessRetries != c.want.ExcessRetries {
 				t.Errorf("got %+v, want %+v", got, c.want)
 			}
 			if len(got.Examples) != got.Breaches() {
--- a/crocusfake/internal/loader/loader_test.go
+++ b/crocusfake/internal/loader/loader_test.go
@@ -48,7 +48,7 @@
 			t.Errorf("whole answer: %+v", r)
 		}
 	}
-	v := judger.Judge([]worker.Entries{w.Ledger().Entries()}, records)
+	v := judger.Judge([]worker.Entries{w.Ledger().Entries()}, records, 0)
 	if damaged == 0 || v.Runs != tries || v.WrongAnswers != damaged {
 		t.Errorf("%d requests, %d tries, %d damaged: %+v", len(records), tries, damaged, v)
 	}
--- a/crocusfake/internal/worker/ledger.go
+++ b/crocusfake/internal/worker/ledger.go
@@ -6,6 +6,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"github.com/cockroachdb/errors"
 )
 
 // Run is one run of one request at a backend server.
@@ -42,22 +44,36 @@
 	mu     sync.Mutex
 	runs   []Run
 	nested []NestedCall
-	// arrivals counts requests by Tree, refused ones included.
-	arrivals map[string]int
+	// arrivals counts requests by key and try, refused ones included.
+	arrivals map[Attempt]int
 }
 
 // Entries is a copy of a ledger.
 type Entries struct {
 	Runs     []Run
 	Nested   []NestedCall
-	Arrivals map[string]int
+	Arrivals map[Attempt]int
 }
 
-// Tree identifies the call tree of one HTTP request of a caller.
-func Tree(key, try string) string {
-	return Root(key) + "#" + try
+// Attempt identifies a call in the call tree of one HTTP request of a caller.
+type Attempt struct{ Key, Try string }
+
+// MarshalText writes the try and the key, so that an Attempt can be a key of
+// a JSON object.
+func (a Attempt) MarshalText() ([]byte, error) { return []byte(a.Try + "#" + a.Key), nil }
+
+// UnmarshalText reads what MarshalText writes.
+func (a *Attempt) UnmarshalText(b []byte) error {
+	var ok bool
+	if a.Try, a.Key, ok = strings.Cut(string(b), "#"); !ok {
+		return errors.Newf("attempt %q has no #", b)
+	}
+	return nil
 }
 
+// Tree identifies the call tree by the caller's key and the try.
+func (a Attempt) Tree() Attempt { return Attempt{Key: Root(a.Key), Try: a.Try} }
+
 // Root returns the caller's key that a nested call's key begins with.
 func Root(key string) string {
 	root, _, _ := strings.Cut(key, "/")
@@ -68,9 +84,9 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.arrivals == nil {
-		l.arrivals = make(map[string]int)
+		l.arrivals = make(map[Attempt]int)
 	}
-	l.arrivals[Tree(key, try)]++
+	l.arrivals[Attempt{key, try}]++
 }
 
 func (l *Ledger) begin(r Run) int {
