--- a/crocusfake/internal/prover/chain_test.go
+++ b/crocusfake/internal/prover/chain_test.go
@@ -24,16 +24,16 @@
 // arrivals counts requests at backend servers by service and call tree.
 type arrivals struct {
 	mu    sync.Mutex
-	count map[string]map[string]int
+	count map[worker.Attempt]map[string]int
 }
 
 func (a *arrivals) add(service string, r *http.Request) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if a.count == nil {
-		a.count = make(map[string]map[string]int)
+		a.count = make(map[worker.Attempt]map[string]int)
 	}
-	tree := worker.Tree(r.Header.Get(worker.HeaderKey), r.Header.Get(worker.HeaderTry))
+	tree := worker.Attempt{Key: r.Header.Get(worker.HeaderKey), Try: r.Header.Get(worker.HeaderTry)}.Tree()
 	if a.count[tree] == nil {
 		a.count[tree] = make(map[string]int)
 	}
@@ -105,7 +105,7 @@
 		}
 		cancel()
 		seen.mu.Lock()
-		for service, n := range seen.count[worker.Tree(key, "")] {
+		for service, n := range seen.count[worker.Attempt{Key: key}] {
 			if n > most {
 				f.t.Errorf("%s: %d attempts at %s, want at most %d", key, n, service, most)
 			}
