synchronizer: skip the checks of items that change nothing

Cause: while a whole fleet starts, a node gets the same items from several peers and checked each copy.

Ruled out: none.

Conclusion: an item is checked only when its stamp is higher or its content differs.

--- a/crocusd/internal/synchronizer/engine.go
+++ b/crocusd/internal/synchronizer/engine.go
@@ -436,8 +436,12 @@
 	}
 	var items []releaser.Item
 	for _, m := range u.GetItems() {
-		if old, ok := e.catalogue.Item(m.GetName()); ok && old.Stamp.Compare(releaser.Stamp{Number: m.GetStamp().GetNumber(), Digest: m.GetStamp().GetDigest()}) > 0 {
-			continue // Not worth the checks.
+		if old, ok := e.catalogue.Item(m.GetName()); ok {
+			stamp := releaser.Stamp{Number: m.GetStamp().GetNumber(), Digest: m.GetStamp().GetDigest()}
+			c := old.Stamp.Compare(stamp)
+			if c > 0 || c == 0 && old.Value == string(m.GetValue()) && old.Withdrawn == m.GetWithdrawn() {
+				continue // Changes nothing, so it is not worth the checks.
+			}
 		}
 		i, err := releaser.DecodeItem(m)
 		if err != nil {
