measurer: traffic, cost and delivery times of fleets in one process

Ruled out: a baseline subtracted from total bytes for each change (its noise exceeded the result); updates are counted alone instead.

Before: spreader sent every record to all control peers unless configured.

go test ./crocusd/internal/measurer -run TestFleet -race: ok. Rules broken on purpose (TestFleet): - updates not sent: "4 nodes did not get there within 20s". - the cut has no effect: "node 1 is cut off and has the note".

--- a/core/spreader/spreader.go
+++ b/core/spreader/spreader.go
@@ -25,11 +25,11 @@
 	// Rotation is the time after which random peers are drawn again, so that
 	// an unlucky graph doesn't last.
 	Rotation time.Duration
-	// Scoped forwards an instance record to peers whose scope holds it, and to
-	// other peers only with probability RandomLinks. Otherwise every peer gets
-	// every record.
-	Scoped      bool
+	// RandomLinks is the probability with which an instance record goes to a
+	// peer whose scope doesn't hold it; peers whose scope does always get it.
 	RandomLinks float64
+	// Plain sends every record to every control peer, for comparison.
+	Plain bool
 }
 
 // DefaultConfig gives each node four control peers in its domain and one
@@ -192,7 +192,7 @@
 // a peer holds, and false when that is unknown.
 func (s *Spreader) Instances(from string, c watcher.Cell, scope func(string) (watcher.Scope, bool)) []string {
 	return s.others(from, func(a string) bool {
-		if !s.cfg.Scoped {
+		if s.cfg.Plain {
 			return true
 		}
 		sc, known := scope(a)
--- a/core/spreader/spreader_test.go
+++ b/core/spreader/spreader_test.go
@@ -120,7 +120,7 @@
 // TestScoped guards against scoped forwarding that leaves out a peer whose
 // scope holds the record.
 func TestScoped(t *testing.T) {
-	s := New(Config{Self: "node0", Scoped: true, RandomLinks: 0.5}, 1)
+	s := New(Config{Self: "node0", RandomLinks: 0.5}, 1)
 	s.SetMembers(0, addresses(5), []string{"far"})
 	holds := s.Peers()[1]
 	counts := map[string]int{}
--- /dev/null
+++ b/crocusd/internal/measurer/measurer.go
@@ -0,0 +1,238 @@
+package measurer
+
+import (
+	"fmt"
+	"io"
+	"runtime"
+	"slices"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"crocustack/core/watcher"
+	"crocustack/crocusd/internal/synchronizer"
+)
+
+// Measure runs all measurements of one fleet size and prints them.
+func Measure(w io.Writer, nodes int) error {
+	o := Options{Nodes: nodes, Domains: 4, Services: max(nodes/9, 6)}
+	if nodes >= 300 {
+		o.Domains = 11
+	}
+	if _, err := fmt.Fprintf(w, "nodes=%d domains=%d services=%d\n", o.Nodes, o.Domains, o.Services); err != nil {
+		return err
+	}
+	return errors.CombineErrors(measureLife(w, o), measureForwarding(w, o))
+}
+
+type printer struct {
+	w   io.Writer
+	err error
+}
+
+func (p *printer) printf(format string, args ...any) {
+	if p.err == nil {
+		_, p.err = fmt.Fprintf(p.w, "  "+format+"\n", args...)
+	}
+}
+
+func (p *printer) times(what string, ts []time.Duration, err error) {
+	if err != nil {
+		p.printf("%s: FAILED: %v", what, err)
+		p.err = err
+		return
+	}
+	p.printf("%s: median %v, p99 %v, all %v", what, at(ts, 0.5), at(ts, 0.99), at(ts, 1))
+}
+
+func at(ts []time.Duration, q float64) time.Duration {
+	if len(ts) == 0 {
+		return 0
+	}
+	return ts[int(q*float64(len(ts)-1))].Round(time.Millisecond)
+}
+
+// reads samples the platform's reads each second until stop is called, which
+// returns the highest and the mean number of reads a second.
+func reads(p *Platform) (stop func() (most uint64, mean float64, refused uint64)) {
+	quit, done := make(chan struct{}), make(chan struct{})
+	first, refused, begin := p.Reads.Load(), p.Refused.Load(), time.Now()
+	last, most := first, uint64(0)
+	go func() {
+		defer close(done)
+		t := time.NewTicker(time.Second)
+		defer t.Stop()
+		for {
+			select {
+			case <-quit:
+				return
+			case <-t.C:
+				now := p.Reads.Load()
+				most = max(most, now-last)
+				last = now
+			}
+		}
+	}()
+	return func() (uint64, float64, uint64) {
+		seconds := time.Since(begin).Seconds()
+		close(quit)
+		<-done
+		total := p.Reads.Load()
+		return max(most, total-last), float64(total-first) / seconds, p.Refused.Load() - refused
+	}
+}
+
+func processorTime() time.Duration {
+	var u syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &u); err != nil {
+		return 0
+	}
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
+
+func heap() uint64 {
+	runtime.GC()
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
+
+func measureLife(w io.Writer, o Options) error {
+	p := &printer{w: w}
+	before := heap()
+	f := NewFleet(o)
+	defer f.Stop()
+	n := float64(o.Nodes)
+
+	stop := reads(f.Platform)
+	begin := time.Now()
+	f.Start(all)
+	ts, err := f.Await(begin, 60*time.Second, all, ready)
+	p.times("whole fleet starts, ready", ts, err)
+	time.Sleep(5 * time.Second)
+	most, _, refused := stop()
+	p.printf("whole fleet starts, platform reads: at most %d a second, %d refused", most, refused)
+
+	time.Sleep(15 * time.Second) // Until newcomers' transfers and first links are over.
+	f.Network.MostBytes()
+	messages, bytes, cpu := f.Network.Messages.Load(), f.Network.Bytes.Load(), processorTime()
+	begin = time.Now()
+	stop = reads(f.Platform)
+	time.Sleep(20 * time.Second)
+	most, mean, _ := stop()
+	seconds := time.Since(begin).Seconds()
+	p.printf("steady, each node sends: %.0f bytes and %.2f messages a second", float64(f.Network.Bytes.Load()-bytes)/n/seconds, float64(f.Network.Messages.Load()-messages)/n/seconds)
+	p.printf("steady, busiest node sends and receives: %.0f bytes a second", float64(f.Network.MostBytes())/seconds)
+	p.printf("steady, processor time of each node: %.3f%% of a core", 100*(processorTime()-cpu).Seconds()/n/seconds)
+	p.printf("steady, platform reads: %.1f a second, at most %d", mean, most)
+	p.printf("heap of each node: %.0f KB", float64(heap()-before)/n/1024)
+	links, mostLinks := f.Network.Links()
+	p.printf("links of each node: %.1f, at most %d", links, mostLinks)
+
+	inForce := func(number uint64) func(int, synchronizer.Snapshot) bool {
+		return func(_ int, s synchronizer.Snapshot) bool { return s.View.Number == number }
+	}
+	var worst []time.Duration
+	for range 5 {
+		ts, err = f.Await(time.Now(), 30*time.Second, all, inForce(f.PublishNote()))
+		if err != nil {
+			break
+		}
+		worst = append(worst, ts[len(ts)-1])
+		time.Sleep(1200 * time.Millisecond)
+	}
+	p.times("note in force, platform up", ts, err)
+	p.printf("note in force everywhere, 5 notes: %v", worst)
+	f.Platform.Cut(domainName(1), true)
+	time.Sleep(12 * time.Second) // Longer than the time after which nodes would read alone.
+	ts, err = f.Await(time.Now(), 30*time.Second, all, inForce(f.PublishNote()))
+	p.times("note in force, one domain cut from the platform", ts, err)
+	f.Platform.Cut(domainName(1), false)
+
+	inDomain := func(i int) bool { return i%o.Domains == 1 }
+	stop = reads(f.Platform)
+	begin = time.Now()
+	f.Start(inDomain)
+	ts, err = f.Await(begin, 60*time.Second, inDomain, ready)
+	p.times("whole domain restarts, ready", ts, err)
+	time.Sleep(10 * time.Second)
+	most, _, refused = stop()
+	p.printf("whole domain restarts, platform reads: at most %d a second, %d refused", most, refused)
+
+	stop = reads(f.Platform)
+	f.Platform.SetDown(true)
+	time.Sleep(20 * time.Second)
+	most, mean, _ = stop()
+	p.printf("platform down, reads: %.1f a second, at most %d", mean, most)
+	stop = reads(f.Platform)
+	f.Platform.SetDown(false)
+	ts, err = f.Await(time.Now(), 60*time.Second, all, inForce(f.PublishNote()))
+	p.times("platform back, note in force", ts, err)
+	time.Sleep(5 * time.Second)
+	most, mean, _ = stop()
+	p.printf("platform back, reads: %.1f a second, at most %d", mean, most)
+
+	stop = reads(f.Platform)
+	begin = time.Now()
+	f.Start(all)
+	ts, err = f.Await(begin, 60*time.Second, all, ready)
+	p.times("whole fleet restarts, ready", ts, err)
+	time.Sleep(5 * time.Second)
+	most, _, refused = stop()
+	p.printf("whole fleet restarts, platform reads: at most %d a second, %d refused", most, refused)
+	return p.err
+}
+
+// measureForwarding compares plain gossip with scoped forwarding: bytes of
+// updates for each changed record, and time until all nodes whose scope holds
+// the record have it.
+func measureForwarding(w io.Writer, o Options) error {
+	p := &printer{w: w}
+	for _, o.Plain = range []bool{true, false} {
+		f := NewFleet(o)
+		begin := time.Now()
+		f.Start(all)
+		if _, err := f.Await(begin, 60*time.Second, all, ready); err != nil {
+			f.Stop()
+			return err
+		}
+		time.Sleep(15 * time.Second)
+		const changes = 16
+		bytes, updates := f.Network.Bytes.Load(), f.Network.Updates.Load()
+		var last, half []time.Duration
+		for k := range changes {
+			i := k / 2 * 7 % o.Nodes
+			listed := k%2 == 1
+			f.SetListed(i, listed)
+			cell := watcher.Cell{Domain: f.nodes[i].domain, Service: f.nodes[i].service}
+			ts, err := f.Await(time.Now(), 30*time.Second, all, func(_ int, s synchronizer.Snapshot) bool {
+				if !s.Table.Scope().Holds(cell) {
+					return true
+				}
+				found := false
+				for _, r := range s.Table.Service(cell.Service) {
+					found = found || r.Address == f.nodes[i].address
+				}
+				return found == listed
+			})
+			if err != nil {
+				p.printf("plain=%v: change %d: FAILED: %v", o.Plain, k, err)
+				p.err = errors.CombineErrors(p.err, err)
+				continue
+			}
+			half = append(half, at(ts, 0.9))
+			last = append(last, ts[len(ts)-1])
+			time.Sleep(1200 * time.Millisecond) // A watch is renewed at most once a second.
+		}
+		spent := float64(f.Network.Bytes.Load() - bytes)
+		pushed := float64(f.Network.Updates.Load() - updates)
+		slices.Sort(half)
+		slices.Sort(last)
+		p.printf("plain=%v: %.0f bytes of updates for each change (%.0f with all other traffic), delivered to 90%% after %v, to all after %v (medians), at worst %v",
+			o.Plain, pushed/changes, spent/changes, at(half, 0.5), at(last, 0.5), at(last, 1))
+		f.Stop()
+	}
+	return p.err
+}
--- /dev/null
+++ b/crocusd/internal/measurer/measurer_test.go
@@ -0,0 +1,52 @@
+package measurer
+
+import (
+	"flag"
+	"os"
+	"testing"
+	"time"
+
+	"crocustack/crocusd/internal/synchronizer"
+)
+
+var measure = flag.Int("measure", 0, "number of nodes to measure; 0 runs none")
+
+// TestMeasure prints the measurements of one fleet size.
+func TestMeasure(t *testing.T) {
+	if *measure == 0 {
+		t.Skip("run with -measure=30, 100, 300 or 1000")
+	}
+	if err := Measure(os.Stdout, *measure); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// TestFleet guards against a shell that loses changes, deadlocks or leaves
+// goroutines behind: a fleet starts, gets a note with a third of all messages
+// lost, and a cut domain catches up after it is joined again.
+func TestFleet(t *testing.T) {
+	f := NewFleet(Options{Nodes: 12, Domains: 3, Services: 3})
+	defer f.Stop()
+	f.Start(all)
+	if _, err := f.Await(time.Now(), 20*time.Second, all, ready); err != nil {
+		t.Fatal(err)
+	}
+	f.Network.SetLoss(0.3)
+	f.Network.Cut(domainName(1), true)
+	f.Platform.Cut(domainName(1), true)
+	others := func(i int) bool { return i%3 != 1 }
+	number := f.PublishNote()
+	inForce := func(_ int, s synchronizer.Snapshot) bool { return s.View.Number == number }
+	if _, err := f.Await(time.Now(), 20*time.Second, others, inForce); err != nil {
+		t.Fatal(err)
+	}
+	for i, n := range f.nodes {
+		if !others(i) && n.Sync.Snapshot().View.Number == number {
+			t.Errorf("node %d is cut off and has the note", i)
+		}
+	}
+	f.Network.Cut(domainName(1), false)
+	if _, err := f.Await(time.Now(), 30*time.Second, all, inForce); err != nil {
+		t.Fatal(err)
+	}
+}
--- /dev/null
+++ b/crocusd/internal/measurer/network.go
@@ -0,0 +1,206 @@
+package measurer
+
+import (
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"google.golang.org/protobuf/proto"
+
+	"crocustack/core/encoder"
+	"crocustack/crocusd/internal/synchronizer"
+)
+
+// messageOverhead is added to the size of each message: 12 bytes of yamux
+// header and 40 bytes of TCP/IP headers.
+const messageOverhead = 12 + 40
+
+// Network connects synchronizers in memory. Messages are delayed as between
+// instances of one region and can be cut off between failure domains.
+type Network struct {
+	// Messages and Bytes count what was sent, handshakes included; Updates
+	// counts the bytes of updates alone.
+	Messages, Bytes, Updates atomic.Uint64
+
+	mu      sync.Mutex
+	members map[string]*member
+	links   map[string]map[string]bool
+	cut     map[string]bool // Domains that reach only themselves.
+	loss    float64
+}
+
+type member struct {
+	sync   *synchronizer.Synchronizer
+	domain string
+	// bytes counts what this member sent and received.
+	bytes atomic.Uint64
+}
+
+// NewNetwork returns an empty network.
+func NewNetwork() *Network {
+	return &Network{members: make(map[string]*member), links: make(map[string]map[string]bool), cut: make(map[string]bool)}
+}
+
+// endpoint is the network as one node sees it.
+type endpoint struct {
+	n       *Network
+	address string
+	domain  string
+}
+
+// Endpoint returns the network of the node at an address.
+func (n *Network) Endpoint(address, domain string) synchronizer.Network {
+	return &endpoint{n, address, domain}
+}
+
+// Join makes a node reachable.
+func (n *Network) Join(address, domain string, s *synchronizer.Synchronizer) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.members[address] = &member{sync: s, domain: domain}
+	n.links[address] = make(map[string]bool)
+}
+
+// Leave removes a node and closes its links.
+func (n *Network) Leave(address string) {
+	n.mu.Lock()
+	var peers []*synchronizer.Synchronizer
+	for p := range n.links[address] {
+		delete(n.links[p], address)
+		peers = append(peers, n.members[p].sync)
+	}
+	delete(n.links, address)
+	delete(n.members, address)
+	n.mu.Unlock()
+	for _, p := range peers {
+		p.Closed(address)
+	}
+}
+
+// Links returns the mean and the highest number of links of a node.
+func (n *Network) Links() (mean float64, most int) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	total := 0
+	for _, l := range n.links {
+		total += len(l)
+		most = max(most, len(l))
+	}
+	return float64(total) / float64(max(len(n.links), 1)), most
+}
+
+// MostBytes returns the highest number of bytes sent and received by one node,
+// and resets the counts.
+func (n *Network) MostBytes() uint64 {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	var most uint64
+	for _, m := range n.members {
+		most = max(most, m.bytes.Swap(0))
+	}
+	return most
+}
+
+func (n *Network) count(from, to *member, m proto.Message) {
+	size := uint64(proto.Size(m) + 1 + messageOverhead)
+	n.Messages.Add(1)
+	n.Bytes.Add(size)
+	from.bytes.Add(size)
+	to.bytes.Add(size)
+}
+
+// Send implements synchronizer.Network.
+func (e *endpoint) Send(address string, m *encoder.Control) error {
+	n := e.n
+	n.mu.Lock()
+	from, to := n.members[e.address], n.members[address]
+	if from == nil || to == nil || (from.domain != to.domain && (n.cut[from.domain] || n.cut[to.domain])) {
+		n.mu.Unlock()
+		return errors.Newf("%s is not reachable", address)
+	}
+	fresh := !n.links[e.address][address]
+	n.links[e.address][address], n.links[address][e.address] = true, true
+	lost := n.loss > 0 && rand.Float64() < n.loss
+	n.mu.Unlock()
+	if fresh {
+		a, b := from.sync.Hello(), to.sync.Hello()
+		n.count(from, to, a)
+		n.count(to, from, b)
+		from.sync.Opened(b)
+		to.sync.Opened(a)
+	}
+	n.count(from, to, m)
+	if m.GetUpdate() != nil {
+		n.Updates.Add(uint64(proto.Size(m) + 1 + messageOverhead))
+	}
+	if lost {
+		return nil
+	}
+	// The messages are encoded and decoded so that the processor time counts.
+	b, err := proto.Marshal(m)
+	if err != nil {
+		return err
+	}
+	delay := 250 * time.Microsecond
+	if from.domain != to.domain {
+		delay = 1500 * time.Microsecond
+	}
+	time.AfterFunc(delay, func() {
+		var got encoder.Control
+		if err := proto.Unmarshal(b, &got); err == nil {
+			to.sync.Received(e.address, &got)
+		}
+	})
+	return nil
+}
+
+// Peers implements synchronizer.Network.
+func (e *endpoint) Peers() []*encoder.Hello {
+	e.n.mu.Lock()
+	var peers []*synchronizer.Synchronizer
+	for _, a := range slices.Sorted(maps.Keys(e.n.links[e.address])) {
+		peers = append(peers, e.n.members[a].sync)
+	}
+	e.n.mu.Unlock()
+	var out []*encoder.Hello
+	for _, p := range peers {
+		out = append(out, p.Hello())
+	}
+	return out
+}
+
+// Cut separates a domain from the others and closes the links between them, or
+// joins it again.
+func (n *Network) Cut(domain string, cut bool) {
+	n.mu.Lock()
+	n.cut[domain] = cut
+	type end struct {
+		sync *synchronizer.Synchronizer
+		peer string
+	}
+	var closed []end
+	for a, l := range n.links {
+		for b := range l {
+			if cut && n.members[a].domain == domain && n.members[b].domain != domain {
+				delete(l, b)
+				delete(n.links[b], a)
+				closed = append(closed, end{n.members[a].sync, b}, end{n.members[b].sync, a})
+			}
+		}
+	}
+	n.mu.Unlock()
+	for _, c := range closed {
+		c.sync.Closed(c.peer)
+	}
+}
+
+// SetLoss sets the share of messages that are lost.
+func (n *Network) SetLoss(share float64) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.loss = share
+}
--- /dev/null
+++ b/crocusd/internal/measurer/platform.go
@@ -0,0 +1,108 @@
+package measurer
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"golang.org/x/time/rate"
+
+	"crocustack/core/watcher"
+	"crocustack/crocusd/internal/synchronizer"
+)
+
+// platformRate is the rate at which the platform starts to refuse reads.
+const platformRate = 2000
+
+// Platform stands in for the configuration service.
+type Platform struct {
+	// Reads counts all reads, Refused those over the rate.
+	Reads, Refused atomic.Uint64
+
+	limiter *rate.Limiter
+	mu      sync.Mutex
+	values  map[string]watcher.Value
+	changed chan struct{}
+	down    bool
+	cut     map[string]bool
+}
+
+// NewPlatform returns a platform without keys.
+func NewPlatform() *Platform {
+	return &Platform{
+		limiter: rate.NewLimiter(platformRate, platformRate), values: make(map[string]watcher.Value),
+		changed: make(chan struct{}), cut: make(map[string]bool),
+	}
+}
+
+// Put stores a new version of a value.
+func (p *Platform) Put(key string, b []byte) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.values[key] = watcher.Value{Bytes: b, Version: p.values[key].Version + 1}
+	p.wake()
+}
+
+// SetDown makes all reads fail, or none.
+func (p *Platform) SetDown(down bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.down = down
+	p.wake()
+}
+
+// Cut makes the reads of one domain fail, or not.
+func (p *Platform) Cut(domain string, cut bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.cut[domain] = cut
+	p.wake()
+}
+
+func (p *Platform) wake() {
+	close(p.changed)
+	p.changed = make(chan struct{})
+}
+
+type platformClient struct {
+	p      *Platform
+	domain string
+}
+
+// Client returns the platform as nodes of a domain see it.
+func (p *Platform) Client(domain string) synchronizer.Platform { return &platformClient{p, domain} }
+
+// Get implements synchronizer.Platform.
+func (c *platformClient) Get(ctx context.Context, r watcher.Read) (watcher.Value, watcher.Result, error) {
+	p := c.p
+	p.Reads.Add(1)
+	if !p.limiter.Allow() {
+		p.Refused.Add(1)
+		return watcher.Value{}, watcher.ResultFailed, errors.New("over the rate")
+	}
+	timeout := time.NewTimer(r.Wait + time.Millisecond)
+	defer timeout.Stop()
+	for {
+		p.mu.Lock()
+		v, ok := p.values[r.Key]
+		failed, changed := p.down || p.cut[c.domain], p.changed
+		p.mu.Unlock()
+		switch {
+		case failed:
+			return watcher.Value{}, watcher.ResultFailed, errors.New("platform not reachable")
+		case !ok:
+			return watcher.Value{}, watcher.ResultMissing, nil
+		case v.Version > r.After:
+			return v, watcher.ResultValue, nil
+		}
+		select {
+		case <-ctx.Done():
+			return watcher.Value{}, watcher.ResultFailed, ctx.Err()
+		case <-timeout.C:
+			return watcher.Value{}, watcher.ResultUnchanged, nil
+		case <-changed:
+		}
+	}
+}
