meter: requests that the entry node refuses without waiting; instances of another domain

Cause: an entry node now waits for the instances of a service without any, so that the verb took more than 4 minutes for the first measurement. Instances that don't exist were chosen as readers of their domain, and the real nodes got no list. Ruled out: a shorter time-out of the requests (the wait would be measured). Conclusion: a load that a node can't keep up with ends as an error.

--- a/crocusfake/internal/meter/caller.go
+++ b/crocusfake/internal/meter/caller.go
@@ -37,6 +37,9 @@
 func (r *rig) offer(ctx context.Context, n *node, service string, status int, rate float64, d time.Duration) (requests, seconds float64, err error) {
 	var sent, wrong atomic.Int64
 	var last atomic.Int64
+	// A node that can't keep up must not hold the whole verb up.
+	ctx, cancel := context.WithTimeout(ctx, 4*d)
+	defer cancel()
 	gap := time.Duration(float64(time.Second) * pacers / rate)
 	begin := time.Now()
 	var wg sync.WaitGroup
--- a/crocusfake/internal/meter/measure.go
+++ b/crocusfake/internal/meter/measure.go
@@ -67,7 +67,7 @@
 	for range m.runs {
 		var a, b, c, d, e []point
 		for _, i := range rng.Perm(len(rates)) {
-			p, err := m.loaded(ctx, r, entry, gate, empty, http.StatusServiceUnavailable, rates[i])
+			p, err := m.loaded(ctx, r, entry, gate, closed, http.StatusNotFound, rates[i])
 			if err != nil {
 				return nil, err
 			}
@@ -267,14 +267,16 @@
 	}, nil
 }
 
-// instances measures memory for instances of the node's own domain.
+// instances measures memory for instances of the node's own service. They are in
+// another domain: readers are chosen among the live instances of a domain, and
+// these do not exist.
 func (m *meter) instances(ctx context.Context) ([]Row, error) {
 	return m.memory(ctx, back, func(r *rig, nodes []*node) ([]Row, error) {
 		runs, err := steps(ctx, nodes, instanceCounts, reading, func(size int) (float64, error) {
 			var list []publisher.Instance
 			for i := range size - len(nodes) {
 				list = append(list, publisher.Instance{
-					Service: back, Address: fmt.Sprintf("127.0.%d.%d:9", 3+i/250, 1+i%250), Domain: domain, Region: region, State: "Live",
+					Service: back, Address: fmt.Sprintf("127.0.%d.%d:9", 3+i/250, 1+i%250), Domain: otherDomain, Region: region, State: "Live",
 				})
 			}
 			return float64(size), r.publisher.SetInstances(list...)
@@ -310,7 +312,7 @@
 
 // memory runs a measurement with one node of the service for each run.
 func (m *meter) memory(ctx context.Context, service string, measure func(*rig, []*node) ([]Row, error)) ([]Row, error) {
-	r, err := newRig(true, domain)
+	r, err := newRig(true, domain, otherDomain)
 	if r != nil {
 		defer r.close()
 	}
