--- a/crocusd/internal/runner/runner.go
+++ b/crocusd/internal/runner/runner.go
@@ -5,6 +5,7 @@
 	"context"
 	"crypto/rand"
 	"encoding/binary"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -73,6 +74,9 @@
 	server  *server.Server
 	sync    *synchronizer.Synchronizer
 
+	// applied is the snapshot last put in force; only apply uses it, which is
+	// never called concurrently.
+	applied synchronizer.Snapshot
 	// flushLog writes what is left of the log; nothing is logged after it.
 	flushLog func() error
 
@@ -140,6 +144,7 @@
 // apply puts a new snapshot in force.
 func (n *Node) apply(s synchronizer.Snapshot) {
 	now := n.clock.Now()
+	n.recordChange(s)
 	if svc, ok := s.View.Services[n.self.Service]; ok {
 		n.handler.SetLimits(n.slots(s.View), svc.QueueTime, svc.QueueLength)
 	}
@@ -149,6 +154,21 @@
 	}
 }
 
+// recordChange records a release and a role that changed.
+func (n *Node) recordChange(s synchronizer.Snapshot) {
+	number, digest := s.Catalogue.Number()
+	record := func(k recorder.Kind, detail string) {
+		n.rec.Record(recorder.Decision{Time: time.Now(), Kind: k, Service: n.self.Service, Detail: detail})
+	}
+	if s.Catalogue.Digest() != n.applied.Catalogue.Digest() {
+		record(recorder.KindNote, fmt.Sprintf("note %d %s in force", number, releaser.FormatDigest(digest)))
+	}
+	if s.Reader != n.applied.Reader {
+		record(recorder.KindReader, fmt.Sprintf("reader of %s: %t", n.cfg.Node.Domain, s.Reader))
+	}
+	n.applied = s
+}
+
 // slots is the bound on concurrent requests at the backend server.
 func (n *Node) slots(v releaser.View) int {
 	if n.cfg.Backend.SlotsHint > 0 {
--- a/crocusd/internal/server/answer.go
+++ b/crocusd/internal/server/answer.go
@@ -32,7 +32,6 @@
 	resolver.ReasonBadRequest:     http.StatusBadRequest,
 	resolver.ReasonBodyTooLarge:   http.StatusRequestEntityTooLarge,
 	resolver.ReasonTicketRequired: http.StatusPreconditionRequired,
-	resolver.ReasonTicketExpired:  http.StatusPreconditionFailed,
 }
 
 // writeNotRun answers that the request was not run.
