linker: tests of silent peers, probes and garbage

Cause: the package had no test. Ruled out: a relay for silence, which would add a second set of time-outs. Conclusion: abandoned within SilentAfter + AbandonAfter plus a margin.

--- /dev/null
+++ b/core/linker/manager_test.go
@@ -0,0 +1,236 @@
+package linker
+
+import (
+	"context"
+	"crypto/rand"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	"go.uber.org/goleak"
+
+	"crocustack/core/encoder"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// peer answers every stream with its first message.
+type peer struct {
+	address string
+
+	mu     sync.Mutex
+	opened int
+	closed chan struct{}
+}
+
+func (p *peer) Hello() *encoder.Hello {
+	return &encoder.Hello{Incarnation: &encoder.Incarnation{Service: "s", Address: p.address, BootId: 1}}
+}
+
+func (p *peer) Opened(*Link) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.opened++
+}
+
+func (p *peer) Closed(*Link, error) {
+	select {
+	case p.closed <- struct{}{}:
+	default:
+	}
+}
+
+func (p *peer) Stream(_ *Link, s *Stream) {
+	m := &encoder.Request{}
+	if s.Receive(m) == nil {
+		_ = s.Send(m)
+	}
+}
+
+func (p *peer) Control(*Link, *encoder.Control) {}
+
+func (p *peer) links() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.opened
+}
+
+// times are short, so that the tests are.
+var times = Config{DialTimeout: 2 * time.Second, SilentAfter: 90 * time.Millisecond, AbandonAfter: 210 * time.Millisecond, Idle: time.Minute}
+
+// listen starts a manager that accepts links until the test ends.
+func listen(t *testing.T) *peer {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	p := &peer{address: l.Addr().String(), closed: make(chan struct{}, 1)}
+	m := New(times, logr.Discard(), p)
+	var wg sync.WaitGroup
+	wg.Go(func() { _ = m.Serve(l) })
+	t.Cleanup(func() {
+		_ = l.Close()
+		wg.Wait()
+		m.Close()
+	})
+	return p
+}
+
+func dialler(t *testing.T) (*Manager, *peer) {
+	p := &peer{address: "127.0.0.1:1", closed: make(chan struct{}, 1)}
+	m := New(times, logr.Discard(), p)
+	t.Cleanup(m.Close)
+	return m, p
+}
+
+// muted is a connection whose bytes go nowhere once it is silent, in both
+// directions, while it stays open.
+type muted struct {
+	net.Conn
+	silent chan struct{}
+	ended  chan struct{}
+	once   sync.Once
+}
+
+func (c *muted) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	select {
+	case <-c.silent:
+		<-c.ended
+		return 0, net.ErrClosed
+	default:
+		return n, err
+	}
+}
+
+func (c *muted) Write(b []byte) (int, error) {
+	select {
+	case <-c.silent:
+		return len(b), nil
+	default:
+		return c.Conn.Write(b)
+	}
+}
+
+func (c *muted) Close() error {
+	c.once.Do(func() { close(c.ended) })
+	return c.Conn.Close()
+}
+
+// TestSilentPeerAbandoned guards against a request that waits on a link which
+// fell silent without closing: it is given up within SilentAfter and
+// AbandonAfter, and not before.
+func TestSilentPeerAbandoned(t *testing.T) {
+	remote := listen(t)
+	m, local := dialler(t)
+	conn, err := net.Dial("tcp", remote.address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	c := &muted{Conn: conn, silent: make(chan struct{}), ended: make(chan struct{})}
+	l, err := m.start(c, true)
+	if err != nil {
+		t.Fatal(err)
+	}
+	s, err := l.OpenStream()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Done()
+	defer func() { _ = s.Close() }()
+	_ = s.SetDeadline(time.Now().Add(10 * time.Second)) // Ends the test when the link is kept.
+	close(c.silent)
+	began := time.Now()
+	if err := s.Send(&encoder.Request{}); err != nil {
+		t.Fatal(err)
+	}
+	if err := s.Receive(&encoder.Request{}); err == nil {
+		t.Fatal("a silent link delivered an answer")
+	}
+	took := time.Since(began)
+	// The link may have been quiet for a moment before it fell silent, and the
+	// watch looks every third of SilentAfter. A second allows for a busy machine.
+	least := times.AbandonAfter
+	most := times.SilentAfter + times.AbandonAfter + 2*times.SilentAfter/3 + time.Second
+	if took < least || took > most {
+		t.Errorf("given up after %v, want %v to %v", took, least, most)
+	}
+	select {
+	case <-local.closed:
+	case <-time.After(5 * time.Second):
+		t.Fatal("the silent link was not closed")
+	}
+	if m.Lookup(remote.address) != nil {
+		t.Error("the silent link is still in use")
+	}
+	again, err := m.Get(context.Background(), remote.address)
+	if err != nil || again == l {
+		t.Errorf("no new link after the silent one: %v", err)
+	}
+}
+
+// TestSlowAnswerKeepsLink guards against a link that is abandoned because its
+// peer works on a request for longer than the times for silence: the probe is
+// answered, so the peer is not silent.
+func TestSlowAnswerKeepsLink(t *testing.T) {
+	remote := listen(t)
+	m, _ := dialler(t)
+	l, err := m.Get(context.Background(), remote.address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	s, err := l.OpenStream()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Done()
+	defer func() { _ = s.Close() }()
+	// The peer reads the request only after this.
+	_ = s.SetDeadline(time.Now().Add(4 * (times.SilentAfter + times.AbandonAfter)))
+	if err := s.Receive(&encoder.Request{}); err == nil {
+		t.Fatal("an answer without a request")
+	}
+	if l.Closed() {
+		t.Error("the link was abandoned although its peer answers probes")
+	}
+}
+
+// TestHandshakeWithGarbage guards against a link, a panic or a goroutine that
+// stays behind when something else than a node connects.
+func TestHandshakeWithGarbage(t *testing.T) {
+	remote := listen(t)
+	noise := make([]byte, 64<<10)
+	_, _ = rand.Read(noise)
+	for name, b := range map[string][]byte{
+		"noise": noise, "http": []byte("GET / HTTP/1.1\r\nHost: x\r\n\r\n"), "nothing": nil,
+		"half": {0, 1},
+		// A yamux header (version 0, window update with SYN, stream 1) and then
+		// a message length far above any bound.
+		"length": append([]byte{0, 1, 0, 1, 0, 0, 0, 1, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 1, 0, 0, 0, 10}, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 1),
+	} {
+		conn, err := net.Dial("tcp", remote.address)
+		if err != nil {
+			t.Fatal(err)
+		}
+		_, _ = conn.Write(b)
+		_ = conn.SetReadDeadline(time.Now().Add(times.DialTimeout + 5*time.Second))
+		// The node may send its own handshake; then it must hang up.
+		for buf := make([]byte, 4096); err == nil; {
+			_, err = conn.Read(buf)
+		}
+		if ne, ok := err.(net.Error); ok && ne.Timeout() {
+			t.Errorf("%s: the connection was not closed within the dial timeout", name)
+		}
+		_ = conn.Close()
+	}
+	if n := remote.links(); n != 0 {
+		t.Errorf("%d links opened by garbage", n)
+	}
+	m, _ := dialler(t)
+	if _, err := m.Get(context.Background(), remote.address); err != nil {
+		t.Errorf("no link after garbage: %v", err)
+	}
+}
