--- a/crocusd/internal/synchronizer/engine.go
+++ b/crocusd/internal/synchronizer/engine.go
@@ -27,6 +27,13 @@
 	maxPush = 16 << 10
 	// maxMessage is the size at which replies to a pull are split.
 	maxMessage = 64 << 10
+	// exchangePause bounds how often a node answers a differing digest with the
+	// digests of its sections and cells, about 10 KB at full scale. When a whole
+	// fleet starts, every comparison finds a difference.
+	exchangePause = 250 * time.Millisecond
+	// replyTime is the time after a pull or an answered digest during which
+	// updates from that peer count as transfers rather than news.
+	replyTime = 2 * time.Second
 	// joinAttempts is the number of unanswered pulls after which a newcomer
 	// stops waiting for peers; each has one comparison interval to be answered.
 	joinAttempts = 3
@@ -57,11 +64,18 @@
 	table     watcher.Table
 	// scopes holds the scope of each peer with an open link.
 	scopes map[string]watcher.Scope
-	// probed holds the peers that were sent a digest and have not answered.
-	probed map[string]bool
 	// wanted holds the services that the node asked for at run time.
 	wanted map[string]bool
 	out    []outgoing
+	// expecting holds, for each peer that was asked for records, the time until
+	// which its updates count as transfers.
+	expecting map[string]time.Duration
+	// announce is true when something was learned that is not pushed; the next
+	// tick sends a short digest to the control peers.
+	announce bool
+	// nextExchange and nextPull are the times of the next exchange that a
+	// differing digest or a list of sections may start.
+	nextExchange, nextPull time.Duration
 
 	nextComparison time.Duration
 	reader         bool
@@ -82,7 +96,8 @@
 		cfg: cfg, log: cfg.Log, random: random,
 		planner:  watcher.NewPlanner(cfg.Planner, now, random.Float64()),
 		spreader: spreader.New(cfg.Spreader, cfg.Seed),
-		scopes:   make(map[string]watcher.Scope), probed: make(map[string]bool), wanted: make(map[string]bool),
+		scopes:   make(map[string]watcher.Scope), wanted: make(map[string]bool),
+		expecting: make(map[string]time.Duration),
 		// Nodes that start together spread their comparisons over the interval.
 		nextComparison: now + time.Duration(random.Int64N(int64(comparisonInterval))),
 		changed:        true,
@@ -147,6 +162,12 @@
 			e.join(now)
 		}
 	}
+	if e.announce {
+		e.announce = false
+		for _, p := range e.spreader.Releases("") {
+			e.probe(p)
+		}
+	}
 	e.refresh(now)
 	return e.planner.Next(now, e.random.Float64)
 }
@@ -162,6 +183,7 @@
 		return
 	}
 	e.joinAttempts++
+	e.expecting[peer] = now + replyTime
 	e.send(peer, &encoder.Control{Message: &encoder.Control_Pull{Pull: &encoder.Pull{Sections: []string{everyItem, everyCell}}}})
 }
 
@@ -226,41 +248,62 @@
 		}
 		e.spreader.SetMembers(now, local, remote)
 	}
-	if !e.ready && e.joined && e.planner.Listed() && (e.view.Number > 0 || e.planner.ReleaseTried()) {
+	if !e.ready && e.joined && e.planner.Listed() && (e.view.Number > 0 || e.planner.ReleaseAbsent()) {
 		e.ready, e.changed = true, true
 		e.log.Info("ready", "Number", e.view.Number, "Instances", e.table.Len())
 	}
 }
 
-// done records the result of a platform read.
-func (e *engine) done(now time.Duration, key string, result watcher.Result, v watcher.Value) {
-	e.planner.Done(now, key, result, v.Version, e.random.Float64())
+// parsed is a decoded platform value.
+type parsed struct {
+	version   uint64
+	domain    string // Set for an instance list.
+	list      []watcher.Instance
+	note      releaser.Note
+	catalogue releaser.Catalogue
+	err       error
+}
+
+// parse decodes a platform value. It takes tens of milliseconds for a large
+// release, so the shell calls it without the lock.
+func parse(key string, v watcher.Value) parsed {
+	p := parsed{version: v.Version}
+	if domain, ok := strings.CutPrefix(key, watcher.InstancesPrefix); ok {
+		p.domain = domain
+		p.list, p.err = watcher.ParseInstances(v.Bytes)
+		return p
+	}
+	p.note, p.catalogue, p.err = releaser.ParseDocument(v.Bytes)
+	return p
+}
+
+// done records the result of a platform read; p counts for a value only.
+func (e *engine) done(now time.Duration, key string, result watcher.Result, p parsed) {
+	e.planner.Done(now, key, result, p.version, e.random.Float64())
 	e.changed = true
-	if result != watcher.ResultValue {
+	switch {
+	case result != watcher.ResultValue:
 		e.refresh(now)
-		return
-	}
-	if domain, ok := strings.CutPrefix(key, watcher.InstancesPrefix); ok {
-		list, err := watcher.ParseInstances(v.Bytes)
-		if err != nil {
-			e.log.Error(err, "instance list rejected", "Key", key, "Version", v.Version)
-			return
-		}
-		t, changed := e.table.WithList(now, domain, v.Version, list)
+	case p.err != nil:
+		e.log.Error(p.err, "platform value rejected", "Key", key, "Version", p.version)
+	case p.domain != "":
+		// The difference between two lists is news. The first list read is not:
+		// all readers of a starting fleet have it.
+		first := e.table.Complete(p.domain) == 0
+		t, changed := e.table.WithList(now, p.domain, p.version, p.list)
 		e.table = t
 		e.refresh(now)
+		if first {
+			e.announce = e.announce || len(changed) > 0
+			return
+		}
 		e.push("", nil, changed)
-		return
-	}
-	n, c, err := releaser.ParseDocument(v.Bytes)
-	if err != nil {
-		e.log.Error(err, "release rejected", "Version", v.Version)
-		return
+	default:
+		e.log.V(1).Info("release read", "Number", p.note.Number, "Version", p.version)
+		items := e.accept(now, p.catalogue.Items())
+		e.refresh(now)
+		e.push("", items, nil)
 	}
-	e.log.V(1).Info("release read", "Number", n.Number, "Version", v.Version)
-	items := e.accept(now, c.Items())
-	e.refresh(now)
-	e.push("", items, nil)
 }
 
 // accept joins items into the catalogue and returns those that changed it.
@@ -302,9 +345,7 @@
 		size += proto.Size(records[k])
 	}
 	if size > maxPush {
-		for _, p := range e.spreader.Releases(from) {
-			e.probe(p)
-		}
+		e.announce = true
 		return
 	}
 	if len(messages) > 0 {
@@ -362,7 +403,6 @@
 	if peer == "" || peer == e.cfg.Address {
 		return
 	}
-	e.probed[peer] = true
 	e.sendDigest(peer, e.digest(peer))
 }
 
@@ -381,7 +421,7 @@
 	case *encoder.Control_Update:
 		e.receiveUpdate(now, from, m.Update)
 	case *encoder.Control_Digest:
-		e.receiveDigest(from, m.Digest)
+		e.receiveDigest(now, from, m.Digest)
 	case *encoder.Control_Pull:
 		e.receivePull(from, m.Pull)
 	}
@@ -396,6 +436,13 @@
 	}
 	var items []releaser.Item
 	for _, m := range u.GetItems() {
+		if old, ok := e.catalogue.Item(m.GetName()); ok {
+			stamp := releaser.Stamp{Number: m.GetStamp().GetNumber(), Digest: m.GetStamp().GetDigest()}
+			c := old.Stamp.Compare(stamp)
+			if c > 0 || c == 0 && old.Value == string(m.GetValue()) && old.Withdrawn == m.GetWithdrawn() {
+				continue // Changes nothing, so it is not worth the checks.
+			}
+		}
 		i, err := releaser.DecodeItem(m)
 		if err != nil {
 			e.log.Error(err, "item rejected", "Peer", from)
@@ -421,7 +468,12 @@
 	if len(changed) > 0 {
 		e.table, e.changed = t, true
 	}
-	e.push(from, news, append(changed, passed...))
+	if until, ok := e.expecting[from]; ok && now < until {
+		e.announce = e.announce || len(news) > 0 || len(changed) > 0
+	} else {
+		delete(e.expecting, from)
+		e.push(from, news, append(changed, passed...))
+	}
 	// Gone records have no digest, so a peer that missed one learns of it only
 	// when it offers the outdated record.
 	back := e.emptyUpdate()
@@ -437,7 +489,7 @@
 
 // receiveDigest handles the two forms of Digest: the short one that opens a
 // comparison, and the list of sections and cells that answers it.
-func (e *engine) receiveDigest(from string, d *encoder.Digest) {
+func (e *engine) receiveDigest(now time.Duration, from string, d *encoder.Digest) {
 	short := true
 	var theirCells *encoder.SectionDigest
 	for _, s := range d.GetSections() {
@@ -447,23 +499,27 @@
 			short = false
 		}
 	}
-	answered := e.probed[from]
-	delete(e.probed, from)
 	if !short {
-		e.receiveDetail(from, d)
+		e.receiveDetail(now, from, d)
 		return
 	}
 	mine := e.digest(from)
 	sameItems := mine.Root == d.GetRoot()
 	sameCells := theirCells == nil || len(mine.Sections) == 0 || mine.Sections[0].Digest == theirCells.GetDigest()
 	if sameItems && sameCells {
-		// Readers answer, because the members of their domain need to know
-		// that they live. An answer to an own probe is not answered again.
-		if e.reader && !answered {
+		// Readers answer other nodes, because the members of their domain need
+		// to know that they live. They don't answer readers, whose answers
+		// would be answered in turn without end.
+		if s, ok := e.scopes[from]; ok && e.reader && !s.All {
 			e.sendDigest(from, mine)
 		}
 		return
 	}
+	if now < e.nextExchange {
+		return // The next comparison finds the difference again.
+	}
+	e.nextExchange = now + exchangePause
+	e.expecting[from] = now + replyTime
 	detail := &encoder.Digest{Root: mine.Root, NoteNumber: mine.NoteNumber, Sections: mine.Sections}
 	var pull []string
 	if !sameItems {
@@ -497,7 +553,7 @@
 
 // receiveDetail pulls the sections and cells that differ and sends the own
 // content of these, so that one exchange brings both sides to the join.
-func (e *engine) receiveDetail(from string, d *encoder.Digest) {
+func (e *engine) receiveDetail(now time.Duration, from string, d *encoder.Digest) {
 	sections := e.catalogue.Sections()
 	cells := e.table.Cells(e.scopes[from])
 	theirs := make(map[string]uint64)
@@ -523,7 +579,12 @@
 			differ[name] = true
 		}
 	}
-	pull := slices.Sorted(maps.Keys(differ))
+	var pull []string
+	if now >= e.nextPull && len(differ) > 0 {
+		e.nextPull = now + exchangePause
+		e.expecting[from] = now + replyTime
+		pull = slices.Sorted(maps.Keys(differ))
+	}
 	if hasCells {
 		e.sendInterest(from)
 		for c := range cells {
@@ -628,12 +689,11 @@
 
 func (e *engine) closed(address string) {
 	delete(e.scopes, address)
-	delete(e.probed, address)
+	delete(e.expecting, address)
 }
 
 func (e *engine) failed(now time.Duration, address string) {
 	e.spreader.Fail(now, address)
-	delete(e.probed, address)
 	if !e.joined {
 		// Another peer is asked at once; a stale list may name many dead ones.
 		e.nextComparison = now
--- a/crocusfake/internal/prover/chain_test.go
+++ b/crocusfake/internal/prover/chain_test.go
@@ -17,23 +17,24 @@
 )
 
 const (
-	chainDepth     = 7
-	chainAllowance = 3
+	chainDepth = 7
+	// allowance is that of every kind in these tests.
+	allowance = 3
 )
 
 // arrivals counts requests at backend servers by service and call tree.
 type arrivals struct {
 	mu    sync.Mutex
-	count map[string]map[string]int
+	count map[worker.Attempt]map[string]int
 }
 
 func (a *arrivals) add(service string, r *http.Request) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if a.count == nil {
-		a.count = make(map[string]map[string]int)
+		a.count = make(map[worker.Attempt]map[string]int)
 	}
-	tree := worker.Tree(r.Header.Get(worker.HeaderKey), r.Header.Get(worker.HeaderTry))
+	tree := worker.Attempt{Key: r.Header.Get(worker.HeaderKey), Try: r.Header.Get(worker.HeaderTry)}.Tree()
 	if a.count[tree] == nil {
 		a.count[tree] = make(map[string]int)
 	}
@@ -55,7 +56,7 @@
 			name: name, instances: 2, slots: 16, routes: []worker.Route{route},
 			kinds: []classifier.Kind{{
 				Name: name, Service: name, Methods: []string{http.MethodGet}, PathPrefix: "/x", Class: classifier.ClassStandard,
-				Idempotent: true, Timeout: 5 * time.Second, Allowance: chainAllowance,
+				Idempotent: true, Timeout: 5 * time.Second, Allowance: allowance,
 			}},
 			wrap: func(_ int, h http.Handler) http.Handler {
 				return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -105,7 +106,7 @@
 		}
 		cancel()
 		seen.mu.Lock()
-		for service, n := range seen.count[worker.Tree(key, "")] {
+		for service, n := range seen.count[worker.Attempt{Key: key}] {
 			if n > most {
 				f.t.Errorf("%s: %d attempts at %s, want at most %d", key, n, service, most)
 			}
@@ -122,7 +123,7 @@
 	// Few enough requests that the retry ratio (10 retries at once, then one for
 	// 10 requests) lets the allowance decide.
 	const requests = 4
-	first := f.attempts(seen, "first", 1, requests, 1+chainAllowance)
+	first := f.attempts(seen, "first", 1, requests, 1+allowance)
 	if first == 1 {
 		t.Error("no request was retried, so the bound was not tested")
 	}
