recorder: only decision lines are batched

Cause: with the whole log in batches, 'note in force' was written up to 100 ms late, and a killed node lost it. Conclusion: the program log is written at once; decision lines are batched.

--- a/core/recorder/logger.go
+++ b/core/recorder/logger.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"slices"
 	"sync"
 	"time"
 
@@ -32,33 +33,34 @@
 	zerologr.VerbosityFieldName = ""
 })
 
-// NewLogger returns the log of a program and the log for New. Both write to w.
-// The level applies to the first one only. The second one writes every
-// decision, or none when decisions is false.
-func NewLogger(w io.Writer, level, format string, decisions bool) (program, decisionLog logr.Logger, err error) {
+// NewLogger returns the log of a program, written to w, and the log for New,
+// written to decisionsTo. The level applies to the first one only. The second
+// one writes every decision, or none when decisions is false.
+func NewLogger(w, decisionsTo io.Writer, level, format string, decisions bool) (program, decisionLog logr.Logger, err error) {
 	lvl, ok := levels[level]
 	if !ok {
 		return logr.Logger{}, logr.Logger{}, fmt.Errorf("unknown log level %q, want one of %v", level, Levels)
 	}
-	setDefaults()
-	switch format {
-	case "JSON":
-	case "Console":
-		w = zerolog.ConsoleWriter{Out: w, NoColor: true, TimeFormat: time.RFC3339Nano}
-	default:
+	if !slices.Contains(Formats, format) {
 		return logr.Logger{}, logr.Logger{}, fmt.Errorf("unknown log format %q, want one of %v", format, Formats)
 	}
-	base := zerolog.New(zerolog.SyncWriter(w)).With().Timestamp().Logger()
-	leveled := base.Level(lvl)
-	program = zerologr.New(&leveled)
+	setDefaults()
+	program = newLog(w, format, lvl)
 	decisionLog = logr.Discard()
 	if decisions {
-		info := base.Level(zerolog.InfoLevel)
-		decisionLog = zerologr.New(&info)
+		decisionLog = newLog(decisionsTo, format, zerolog.InfoLevel)
 	}
 	return program, decisionLog, nil
 }
 
+func newLog(w io.Writer, format string, level zerolog.Level) logr.Logger {
+	if format == "Console" {
+		w = zerolog.ConsoleWriter{Out: w, NoColor: true, TimeFormat: time.RFC3339Nano}
+	}
+	l := zerolog.New(zerolog.SyncWriter(w)).With().Timestamp().Logger().Level(level)
+	return zerologr.New(&l)
+}
+
 // LineFields holds the names of the fields of a decision line in their order.
 var LineFields = []string{
 	"Decision", "Request", "Service", "Kind", "Class",
--- a/core/recorder/recorder_test.go
+++ b/core/recorder/recorder_test.go
@@ -146,7 +146,7 @@
 		{"Info", "Console", true, 3},
 	} {
 		var buf bytes.Buffer
-		log, decisions, err := NewLogger(&buf, tc.level, tc.format, tc.decisions)
+		log, decisions, err := NewLogger(&buf, &buf, tc.level, tc.format, tc.decisions)
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -175,10 +175,10 @@
 			t.Errorf("undocumented fields %v", fields)
 		}
 	}
-	if _, _, err := NewLogger(nil, "Loud", "JSON", true); err == nil {
+	if _, _, err := NewLogger(nil, nil, "Loud", "JSON", true); err == nil {
 		t.Error("level Loud accepted")
 	}
-	if _, _, err := NewLogger(nil, "Info", "XML", true); err == nil {
+	if _, _, err := NewLogger(nil, nil, "Info", "XML", true); err == nil {
 		t.Error("format XML accepted")
 	}
 }
--- a/crocusd/internal/runner/runner.go
+++ b/crocusd/internal/runner/runner.go
@@ -42,8 +42,8 @@
 // recentDecisions is the number of decisions that the admin API can show.
 const recentDecisions = 4096
 
-// logFlushInterval bounds how late a log line is written. A system call for
-// each decision line would add to the latency of every request.
+// logFlushInterval bounds how late a decision line is written. A system call
+// for each of them would add to the latency of every request.
 const logFlushInterval = 100 * time.Millisecond
 
 const (
@@ -77,7 +77,7 @@
 	// applied is the snapshot last put in force; only apply uses it, which is
 	// never called concurrently.
 	applied synchronizer.Snapshot
-	// flushLog writes what is left of the log; nothing is logged after it.
+	// flushLog writes the decision lines that are left; none is logged after it.
 	flushLog func() error
 
 	drainOnce sync.Once
@@ -87,13 +87,13 @@
 
 // New puts a node together. It opens no socket.
 func New(cfg configurer.Settings, out io.Writer) (*Node, error) {
-	log := &zapcore.BufferedWriteSyncer{WS: zapcore.AddSync(out), FlushInterval: logFlushInterval}
-	program, decisions, err := recorder.NewLogger(log, cfg.Log.Level, cfg.Log.Format, cfg.Log.Decisions)
+	lines := &zapcore.BufferedWriteSyncer{WS: zapcore.AddSync(out), FlushInterval: logFlushInterval}
+	program, decisions, err := recorder.NewLogger(out, lines, cfg.Log.Level, cfg.Log.Format, cfg.Log.Decisions)
 	if err != nil {
 		return nil, err
 	}
 	n := &Node{
-		cfg: cfg, log: program, flushLog: log.Stop, clock: timekeeper.NewClock(), started: time.Now(), drain: make(chan struct{}),
+		cfg: cfg, log: program, flushLog: lines.Stop, clock: timekeeper.NewClock(), started: time.Now(), drain: make(chan struct{}),
 		self: gatekeeper.Incarnation{Service: cfg.Node.Service, Address: cfg.Node.Link, BootID: newBootID()},
 	}
 	n.rec = recorder.New(decisions, recentDecisions)
