--- a/crocusd/internal/forwarder/exchange.go
+++ b/crocusd/internal/forwarder/exchange.go
@@ -70,9 +70,14 @@
 	unspent uint32
 }
 
+// receiver is the reading side of a *linker.Stream.
+type receiver interface {
+	Receive(m proto.Message) error
+}
+
 // receiveAnswer reads the head and the body of an answer. A body of up to hold
 // bytes reaches the sink only when it is whole.
-func receiveAnswer(s *linker.Stream, id *encoder.AttemptId, hold int, sink *trackingSink) (received, error) {
+func receiveAnswer(s receiver, id *encoder.AttemptId, hold int, sink *trackingSink) (received, error) {
 	got := received{head: &encoder.Answer{}}
 	if err := s.Receive(got.head); err != nil {
 		got.head = nil
@@ -89,7 +94,7 @@
 	return receiveBody(s, got, hold, sink)
 }
 
-func receiveBody(s *linker.Stream, got received, hold int, sink *trackingSink) (received, error) {
+func receiveBody(s receiver, got received, hold int, sink *trackingSink) (received, error) {
 	digest := xxhash.New()
 	length := uint64(0)
 	var held bytes.Buffer
--- /dev/null
+++ b/crocusd/internal/server/server_test.go
@@ -0,0 +1,163 @@
+package server
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/google/go-cmp/cmp"
+
+	"crocustack/core/classifier"
+	"crocustack/core/gatekeeper"
+	"crocustack/core/recorder"
+	"crocustack/core/releaser"
+	"crocustack/core/resolver"
+	"crocustack/crocusd/internal/forwarder"
+	"crocustack/crocusd/internal/tracer"
+)
+
+// fakeForwarder answers with an outcome and counts what reaches it.
+type fakeForwarder struct {
+	outcome resolver.Outcome
+	sent    int
+}
+
+var home = gatekeeper.Ticket{
+	Home: gatekeeper.Incarnation{Service: "numerator", Address: "127.0.0.1:7000", BootID: 9}, Kind: "issue", Serial: 1,
+}
+
+func (f *fakeForwarder) Forward(_ context.Context, _ forwarder.Request, sink forwarder.Sink) forwarder.Result {
+	f.sent++
+	if ran, ok := f.outcome.(resolver.Ran); ok {
+		sink.Head(ran.Status, nil, 2)
+		_ = sink.Write([]byte("ok"))
+	}
+	return forwarder.Result{Outcome: f.outcome}
+}
+
+func (f *fakeForwarder) Tickets(context.Context, string, string, int) ([]gatekeeper.Ticket, time.Duration, error) {
+	return []gatekeeper.Ticket{home}, time.Minute, nil
+}
+
+func testServer(f Forwarder, ready bool) *Server {
+	kinds := []classifier.Kind{
+		{Name: "issue", Service: "numerator", Methods: []string{"POST"}, PathPrefix: "/numbers", Class: classifier.ClassCritical, Ticket: classifier.TicketRuleRequired, Timeout: time.Second},
+		{Name: "read", Service: "numerator", Methods: []string{"GET", "PUT"}, PathPrefix: "/numbers", Idempotent: true, Timeout: time.Second},
+	}
+	view := releaser.View{Table: classifier.NewTable(kinds), Services: map[string]releaser.Service{"numerator": {Name: "numerator"}}}
+	return New(Config{MaxBodyBytes: 10, BufferBytes: 100_000}, func() releaser.View { return view }, func() bool { return ready }, f,
+		tracer.NewRegistry(), recorder.New(logr.Discard(), 8))
+}
+
+// told is what a caller learns from an answer.
+type told struct {
+	Status          int
+	Outcome, Reason string
+	Ticket, Sent    bool
+}
+
+// Guards against bad input that reaches an upstream, and against answers from
+// which a caller can't tell what became of its request.
+func TestEntry(t *testing.T) {
+	ticket, err := home.Text()
+	if err != nil {
+		t.Fatal(err)
+	}
+	ran := resolver.Ran{Status: 200}
+	tests := []struct {
+		name, method, path, body string
+		header                   map[string]string
+		outcome                  resolver.Outcome
+		want                     told
+	}{
+		{"ran", "GET", "/numerator/numbers", "", nil, ran, told{200, "Ran", "", false, true}},
+		{"unknown service", "GET", "/other/numbers", "", nil, ran, told{404, "NotRun", "UnknownService", false, false}},
+		{"unknown kind", "GET", "/numerator/other", "", nil, ran, told{404, "NotRun", "UnknownKind", false, false}},
+		{"ticket missing", "POST", "/numerator/numbers", "", nil, ran, told{428, "NotRun", "TicketRequired", true, false}},
+		{"ticket", "POST", "/numerator/numbers", "", map[string]string{"Crocus-Ticket": ticket}, ran, told{200, "Ran", "", false, true}},
+		{"ticket of another kind", "GET", "/numerator/numbers", "", map[string]string{"Crocus-Ticket": ticket}, ran, told{400, "NotRun", "BadRequest", false, false}},
+		{"ticket garbled", "POST", "/numerator/numbers", "", map[string]string{"Crocus-Ticket": "%%"}, ran, told{400, "NotRun", "BadRequest", false, false}},
+		{"attempt 0", "GET", "/numerator/numbers", "", map[string]string{"Crocus-Attempt": "0"}, ran, told{400, "NotRun", "BadRequest", false, false}},
+		{"timeout text", "GET", "/numerator/numbers", "", map[string]string{"Crocus-Timeout-Ms": "soon"}, ran, told{400, "NotRun", "BadRequest", false, false}},
+		{"body at the limit", "PUT", "/numerator/numbers", "0123456789", nil, ran, told{200, "Ran", "", false, true}},
+		{"body too large", "PUT", "/numerator/numbers", "0123456789a", nil, ran, told{413, "NotRun", "BodyTooLarge", false, false}},
+		{"leaving home", "POST", "/numerator/numbers", "", map[string]string{"Crocus-Ticket": ticket}, resolver.NotRun{Reason: resolver.ReasonDraining}, told{428, "NotRun", "Draining", true, true}},
+		{"home unreachable, first attempt", "POST", "/numerator/numbers", "", map[string]string{"Crocus-Ticket": ticket, "Crocus-Attempt": "1"}, resolver.NotRun{Reason: resolver.ReasonNoLink}, told{428, "NotRun", "NoLink", true, true}},
+		{"home unreachable, repeat", "POST", "/numerator/numbers", "", map[string]string{"Crocus-Ticket": ticket, "Crocus-Attempt": "2"}, resolver.NotRun{Reason: resolver.ReasonNoLink}, told{503, "NotRun", "NoLink", false, true}},
+		{"in doubt", "GET", "/numerator/numbers", "", nil, resolver.Unknown{Reason: resolver.ReasonLinkLost}, told{504, "Unknown", "LinkLost", false, true}},
+	}
+	for _, tc := range tests {
+		for _, chunked := range []bool{false, true} {
+			f := &fakeForwarder{outcome: tc.outcome}
+			r := httptest.NewRequest(tc.method, tc.path, strings.NewReader(tc.body))
+			if chunked {
+				r.ContentLength = -1
+			}
+			for k, v := range tc.header {
+				r.Header.Set(k, v)
+			}
+			w := httptest.NewRecorder()
+			testServer(f, true).Entry().ServeHTTP(w, r)
+			h := w.Result().Header
+			got := told{w.Code, h.Get("Crocus-Outcome"), h.Get("Crocus-Reason"), h.Get("Crocus-Ticket") != "", f.sent > 0}
+			if d := cmp.Diff(tc.want, got); d != "" {
+				t.Errorf("%s (chunked %t) (-want +got):\n%s", tc.name, chunked, d)
+			}
+		}
+	}
+}
+
+// brokenBody ends with an error after a few bytes.
+type brokenBody struct{ io.Reader }
+
+func (b brokenBody) Read(p []byte) (int, error) {
+	n, err := b.Reader.Read(p)
+	if err == io.EOF {
+		err = io.ErrUnexpectedEOF
+	}
+	return n, err
+}
+
+// Guards against part of an upload being run, and against buffer space that is
+// not given back.
+func TestBodyBrokenOff(t *testing.T) {
+	f := &fakeForwarder{outcome: resolver.Ran{Status: 200}}
+	s := testServer(f, true)
+	for range 50 {
+		r := httptest.NewRequest(http.MethodPut, "/numerator/numbers", brokenBody{strings.NewReader("0123")})
+		r.ContentLength = -1
+		w := httptest.NewRecorder()
+		s.Entry().ServeHTTP(w, r)
+		if got := w.Header().Get("Crocus-Reason"); got != "Cancelled" || f.sent > 0 {
+			t.Fatalf("reason %q, %d requests sent on, want Cancelled and none", got, f.sent)
+		}
+	}
+	if !s.buffer.TryAcquire(100_000) {
+		t.Error("the buffer budget was not given back")
+	}
+	w := httptest.NewRecorder()
+	s.Entry().ServeHTTP(w, httptest.NewRequest(http.MethodPut, "/numerator/numbers", strings.NewReader("0123")))
+	if got := w.Header().Get("Crocus-Reason"); got != "BufferFull" {
+		t.Errorf("reason %q with no buffer left, want BufferFull", got)
+	}
+}
+
+// Guards against requests that are served before a release is in force, or
+// while the node leaves.
+func TestNotServing(t *testing.T) {
+	f := &fakeForwarder{outcome: resolver.Ran{Status: 200}}
+	leaving := testServer(f, true)
+	leaving.Leave()
+	for want, s := range map[string]*Server{"NotReady": testServer(f, false), "Draining": leaving} {
+		w := httptest.NewRecorder()
+		s.Entry().ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/numerator/numbers", nil))
+		if got := w.Header().Get("Crocus-Reason"); got != want || f.sent > 0 {
+			t.Errorf("reason %q, %d requests sent on, want %s and none", got, f.sent, want)
+		}
+	}
+}
