--- /dev/null
+++ b/crocusd/internal/handler/convert.go
@@ -0,0 +1,51 @@
+package handler
+
+import (
+	"crypto/rand"
+	"encoding/hex"
+
+	"crocustack/core/classifier"
+	"crocustack/core/encoder"
+	"crocustack/core/gatekeeper"
+)
+
+func attemptID(m *encoder.AttemptId) gatekeeper.AttemptID {
+	return gatekeeper.AttemptID{SenderBoot: m.GetSenderBootId(), Sequence: m.GetSequence()}
+}
+
+func incarnation(m *encoder.Incarnation) gatekeeper.Incarnation {
+	return gatekeeper.Incarnation{Service: m.GetService(), Address: m.GetAddress(), BootID: m.GetBootId()}
+}
+
+// IncarnationMessage converts an incarnation for a message.
+func IncarnationMessage(i gatekeeper.Incarnation) *encoder.Incarnation {
+	return &encoder.Incarnation{Service: i.Service, Address: i.Address, BootId: i.BootID}
+}
+
+func beginOf(m *encoder.Run) (gatekeeper.Begin, error) {
+	b := gatekeeper.Begin{
+		ID: attemptID(m.GetId()), SettledBelow: m.GetSettledBelow(), Target: incarnation(m.GetTarget()),
+		Kind: m.GetKind(), Key: m.GetKey(),
+	}
+	if m.GetTicket() == nil {
+		return b, nil
+	}
+	t, err := gatekeeper.TicketFromMessage(m.GetTicket())
+	b.Ticket = &t
+	return b, err
+}
+
+// classOf reads the class of a run; a value out of range counts as the lowest.
+func classOf(m *encoder.Run) classifier.Class {
+	if m.GetClass() >= classifier.NumClasses {
+		return classifier.ClassBulk
+	}
+	return classifier.Class(m.GetClass())
+}
+
+// newToken returns a random span id of 16 hex digits (W3C Trace Context).
+func newToken() string {
+	var b [8]byte
+	_, _ = rand.Read(b[:])
+	return hex.EncodeToString(b[:])
+}
--- /dev/null
+++ b/crocusd/internal/synchronizer/exchange.go
@@ -0,0 +1,318 @@
+package synchronizer
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"google.golang.org/protobuf/proto"
+
+	"crocustack/core/encoder"
+	"crocustack/core/releaser"
+	"crocustack/core/spreader"
+	"crocustack/core/watcher"
+)
+
+// hashScope makes digests of instance records differ when one side holds an
+// outdated scope of the other. Without it a node that widened its scope and
+// whose Interest was lost has the same digest as a peer that offers the records
+// of the old scope only.
+func hashScope(s watcher.Scope) uint64 {
+	return xxhash.Sum64String(s.Domain + "\x00" + strings.Join(interestOf(s), "\x00"))
+}
+
+// digest returns the short digest that opens a comparison. The digest of
+// instance records covers what both sides hold, so it is left out while the
+// scope of the peer is unknown.
+func (e *engine) digest(peer string) *encoder.Digest {
+	number, _ := e.catalogue.Number()
+	d := &encoder.Digest{Root: e.catalogue.Digest(), NoteNumber: number}
+	if s, ok := e.scopes[peer]; ok {
+		d.Sections = []*encoder.SectionDigest{{Name: everyCell, Digest: e.table.Digest(s) ^ hashScope(s) ^ hashScope(e.table.Scope())}}
+	}
+	return d
+}
+
+func (e *engine) sendInterest(peer string) {
+	e.send(peer, &encoder.Control{Message: &encoder.Control_Interest{Interest: &encoder.Interest{Services: interestOf(e.table.Scope())}}})
+}
+
+func (e *engine) probe(peer string) {
+	if peer == "" || peer == e.cfg.Address {
+		return
+	}
+	e.sendDigest(peer, e.digest(peer))
+}
+
+func (e *engine) sendDigest(peer string, d *encoder.Digest) {
+	e.send(peer, &encoder.Control{Message: &encoder.Control_Digest{Digest: d}})
+}
+
+// receive handles a message from a peer.
+func (e *engine) receive(now time.Duration, from string, m *encoder.Control) {
+	e.planner.Heard(now, from)
+	switch m := m.GetMessage().(type) {
+	case *encoder.Control_Interest:
+		if s, ok := e.scopes[from]; ok {
+			e.scopes[from] = scopeOf(s.Domain, m.Interest.GetServices())
+		}
+	case *encoder.Control_Update:
+		e.receiveUpdate(now, from, m.Update)
+	case *encoder.Control_Digest:
+		e.receiveDigest(now, from, m.Digest)
+	case *encoder.Control_Pull:
+		e.receivePull(from, m.Pull)
+	}
+	e.refresh(now)
+}
+
+func (e *engine) receiveUpdate(now time.Duration, from string, u *encoder.Update) {
+	if !e.joined {
+		// The first answer ends the wait; what else is missing shows in the
+		// comparison with a reader that follows at once.
+		e.joined, e.changed, e.nextComparison = true, true, now
+	}
+	var items []releaser.Item
+	for _, m := range u.GetItems() {
+		if old, ok := e.catalogue.Item(m.GetName()); ok {
+			stamp := releaser.Stamp{Number: m.GetStamp().GetNumber(), Digest: m.GetStamp().GetDigest()}
+			c := old.Stamp.Compare(stamp)
+			if c > 0 || c == 0 && old.Value == string(m.GetValue()) && old.Withdrawn == m.GetWithdrawn() {
+				continue // Changes nothing, so it is not worth the checks.
+			}
+		}
+		i, err := releaser.DecodeItem(m)
+		if err != nil {
+			e.log.Error(err, "item rejected", "Peer", from)
+			continue
+		}
+		items = append(items, i)
+	}
+	news := e.accept(now, items)
+	var held, passed []watcher.Instance
+	for _, m := range u.GetInstances() {
+		i, ok := watcher.DecodeInstance(m)
+		if !ok {
+			e.log.Info("instance record rejected", "Peer", from)
+			continue
+		}
+		if e.table.Scope().Holds(watcher.Cell{Domain: i.Domain, Service: i.Service}) {
+			held = append(held, i)
+		} else if e.spreader.First(spreader.Stamp(i)) {
+			passed = append(passed, i)
+		}
+	}
+	t, changed := e.table.With(now, held...)
+	if len(changed) > 0 {
+		e.table, e.changed = t, true
+	}
+	if until, ok := e.expecting[from]; ok && now < until {
+		e.announce = e.announce || len(news) > 0 || len(changed) > 0
+	} else {
+		delete(e.expecting, from)
+		e.push(from, news, append(changed, passed...))
+	}
+	// Gone records have no digest, so a peer that missed one learns of it only
+	// when it offers the outdated record.
+	back := e.emptyUpdate()
+	for _, i := range held {
+		if newer, ok := e.table.Newer(i); ok {
+			back.Instances = append(back.Instances, newer.Encode())
+		}
+	}
+	if len(back.Instances) > 0 {
+		e.send(from, &encoder.Control{Message: &encoder.Control_Update{Update: back}})
+	}
+}
+
+// receiveDigest handles the two forms of Digest: the short one that opens a
+// comparison, and the list of sections and cells that answers it.
+func (e *engine) receiveDigest(now time.Duration, from string, d *encoder.Digest) {
+	short := true
+	var theirCells *encoder.SectionDigest
+	for _, s := range d.GetSections() {
+		if s.GetName() == everyCell {
+			theirCells = s
+		} else {
+			short = false
+		}
+	}
+	if !short {
+		e.receiveDetail(now, from, d)
+		return
+	}
+	mine := e.digest(from)
+	sameItems := mine.Root == d.GetRoot()
+	sameCells := theirCells == nil || len(mine.Sections) == 0 || mine.Sections[0].Digest == theirCells.GetDigest()
+	if sameItems && sameCells {
+		// Readers answer other nodes, because the members of their domain need
+		// to know that they live. They don't answer readers, whose answers
+		// would be answered in turn without end.
+		if s, ok := e.scopes[from]; ok && e.reader && !s.All {
+			e.sendDigest(from, mine)
+		}
+		return
+	}
+	if now < e.nextExchange {
+		return // The next comparison finds the difference again.
+	}
+	e.nextExchange = now + exchangePause
+	e.expecting[from] = now + replyTime
+	detail := &encoder.Digest{Root: mine.Root, NoteNumber: mine.NoteNumber, Sections: mine.Sections}
+	var pull []string
+	if !sameItems {
+		sections := e.catalogue.Sections()
+		for _, name := range slices.Sorted(maps.Keys(sections)) {
+			detail.Sections = append(detail.Sections, &encoder.SectionDigest{Name: name, Digest: sections[name]})
+		}
+		if len(sections) == 0 {
+			pull = append(pull, everyItem)
+		}
+	}
+	if !sameCells {
+		// The peer may hold an outdated scope of this node; a lost Interest
+		// would otherwise keep both sides apart.
+		e.sendInterest(from)
+		cells := e.table.Cells(e.scopes[from])
+		for _, c := range slices.SortedFunc(maps.Keys(cells), compareCells) {
+			detail.Sections = append(detail.Sections, &encoder.SectionDigest{Name: cellName(c), Digest: cells[c]})
+		}
+		if len(cells) == 0 {
+			pull = append(pull, everyCell)
+		}
+	}
+	if len(pull) > 0 {
+		e.send(from, &encoder.Control{Message: &encoder.Control_Pull{Pull: &encoder.Pull{Sections: pull}}})
+	}
+	if len(detail.Sections) > len(mine.Sections) {
+		e.sendDigest(from, detail)
+	}
+}
+
+// receiveDetail pulls the sections and cells that differ and sends the own
+// content of these, so that one exchange brings both sides to the join.
+func (e *engine) receiveDetail(now time.Duration, from string, d *encoder.Digest) {
+	sections := e.catalogue.Sections()
+	cells := e.table.Cells(e.scopes[from])
+	theirs := make(map[string]uint64)
+	hasItems, hasCells := false, false
+	for _, s := range d.GetSections() {
+		if s.GetName() == everyCell {
+			continue
+		}
+		theirs[s.GetName()] = s.GetDigest()
+		if strings.HasPrefix(s.GetName(), everyCell) {
+			hasCells = true
+		} else {
+			hasItems = true
+		}
+	}
+	differ := make(map[string]bool)
+	for name, digest := range theirs {
+		mine, ok := sections[name]
+		if c, isCell := parseCell(name); isCell {
+			mine, ok = cells[c]
+		}
+		if !ok || mine != digest {
+			differ[name] = true
+		}
+	}
+	var pull []string
+	if now >= e.nextPull && len(differ) > 0 {
+		e.nextPull = now + exchangePause
+		e.expecting[from] = now + replyTime
+		pull = slices.Sorted(maps.Keys(differ))
+	}
+	if hasCells {
+		e.sendInterest(from)
+		for c := range cells {
+			if _, ok := theirs[cellName(c)]; !ok {
+				differ[cellName(c)] = true
+			}
+		}
+	}
+	if hasItems {
+		for name := range sections {
+			if _, ok := theirs[name]; !ok {
+				differ[name] = true
+			}
+		}
+	}
+	if len(pull) > 0 {
+		e.send(from, &encoder.Control{Message: &encoder.Control_Pull{Pull: &encoder.Pull{Sections: pull}}})
+	}
+	e.sendSections(from, slices.Sorted(maps.Keys(differ)), false)
+}
+
+func (e *engine) receivePull(from string, p *encoder.Pull) {
+	var names []string
+	for _, name := range p.GetSections() {
+		switch name {
+		case everyItem:
+			names = append(names, slices.Sorted(maps.Keys(e.catalogue.Sections()))...)
+		case everyCell:
+			for c := range e.table.Cells(e.scopes[from]) {
+				names = append(names, cellName(c))
+			}
+		default:
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	e.sendSections(from, slices.Compact(names), true)
+}
+
+// sendSections sends the content of sections and cells, in several messages
+// when it is large. An answer to a pull is sent even when it is empty, because
+// a newcomer waits for it.
+func (e *engine) sendSections(to string, names []string, always bool) {
+	u, size, sent := e.emptyUpdate(), 0, 0
+	flush := func(n int) {
+		if size > 0 && size+n > maxMessage {
+			e.send(to, &encoder.Control{Message: &encoder.Control_Update{Update: u}})
+			u, size = e.emptyUpdate(), 0
+			sent++
+		}
+		size += n
+	}
+	scope, known := e.scopes[to]
+	for _, name := range names {
+		if c, ok := parseCell(name); ok {
+			if known && !scope.Holds(c) {
+				continue
+			}
+			for _, i := range e.table.Records(c) {
+				m := i.Encode()
+				flush(proto.Size(m))
+				u.Instances = append(u.Instances, m)
+			}
+			continue
+		}
+		for _, i := range e.catalogue.Section(name) {
+			m := i.Encode()
+			flush(proto.Size(m))
+			u.Items = append(u.Items, m)
+		}
+	}
+	if size > 0 || always && sent == 0 {
+		e.send(to, &encoder.Control{Message: &encoder.Control_Update{Update: u}})
+	}
+}
+
+func cellName(c watcher.Cell) string { return everyCell + c.Domain + "/" + c.Service }
+
+func parseCell(name string) (watcher.Cell, bool) {
+	rest, ok := strings.CutPrefix(name, everyCell)
+	if !ok {
+		return watcher.Cell{}, false
+	}
+	d, s, ok := strings.Cut(rest, "/")
+	return watcher.Cell{Domain: d, Service: s}, ok
+}
+
+func compareCells(a, b watcher.Cell) int {
+	return cmp.Or(cmp.Compare(a.Domain, b.Domain), cmp.Compare(a.Service, b.Service))
+}
--- /dev/null
+++ b/crocusd/internal/synchronizer/platform.go
@@ -0,0 +1,61 @@
+package synchronizer
+
+import (
+	"strings"
+	"time"
+
+	"crocustack/core/releaser"
+	"crocustack/core/watcher"
+)
+
+// parsed is a decoded platform value.
+type parsed struct {
+	version   uint64
+	domain    string // Set for an instance list.
+	list      []watcher.Instance
+	note      releaser.Note
+	catalogue releaser.Catalogue
+	err       error
+}
+
+// parse decodes a platform value. It takes tens of milliseconds for a large
+// release, so the shell calls it without the lock.
+func parse(key string, v watcher.Value) parsed {
+	p := parsed{version: v.Version}
+	if domain, ok := strings.CutPrefix(key, watcher.InstancesPrefix); ok {
+		p.domain = domain
+		p.list, p.err = watcher.ParseInstances(v.Bytes)
+		return p
+	}
+	p.note, p.catalogue, p.err = releaser.ParseDocument(v.Bytes)
+	return p
+}
+
+// done records the result of a platform read; p counts for a value only.
+func (e *engine) done(now time.Duration, key string, result watcher.Result, p parsed) {
+	e.planner.Done(now, key, result, p.version, e.random.Float64())
+	e.changed = true
+	switch {
+	case result != watcher.ResultValue:
+		e.refresh(now)
+	case p.err != nil:
+		e.log.Error(p.err, "platform value rejected", "Key", key, "Version", p.version)
+	case p.domain != "":
+		// The difference between two lists is news. The first list read is not:
+		// all readers of a starting fleet have it.
+		first := e.table.Complete(p.domain) == 0
+		t, changed := e.table.WithList(now, p.domain, p.version, p.list)
+		e.table = t
+		e.refresh(now)
+		if first {
+			e.announce = e.announce || len(changed) > 0
+			return
+		}
+		e.push("", nil, changed)
+	default:
+		e.log.V(1).Info("release read", "Number", p.note.Number, "Version", p.version)
+		items := e.accept(now, p.catalogue.Items())
+		e.refresh(now)
+		e.push("", items, nil)
+	}
+}
