admitter: target of half the queue time

Cause: near capacity the admission level rose although nearly all queued requests were admitted in time: a target of a fifth of the queue time (30 ms) is half a service time of the deep service, and random queues stand that long.

--- a/core/admitter/admitter.go
+++ b/core/admitter/admitter.go
@@ -22,7 +22,7 @@
 	// QueueLength is the largest number of queued requests; default 4 × Slots,
 	// at least 64.
 	QueueLength int
-	// Target is the acceptable queueing delay; default QueueTime / 5.
+	// Target is the acceptable queueing delay; default QueueTime / 2.
 	Target time.Duration
 	// RampTime is the time from a cold start to the full limit; default 3 s,
 	// negative for none.
@@ -35,7 +35,7 @@
 		c.QueueTime = 50 * time.Millisecond
 	}
 	if c.Target <= 0 {
-		c.Target = c.QueueTime / 5
+		c.Target = c.QueueTime / 2
 	}
 	if c.RampTime == 0 {
 		c.RampTime = 3 * time.Second
