--- a/crocusfake/internal/experimenter/faults.go
+++ b/crocusfake/internal/experimenter/faults.go
@@ -304,7 +304,7 @@
 		{"Seed", fmt.Sprint(r.Seed)},
 		{"Faults", fmt.Sprint(len(r.Schedule))},
 		{"Requests / tries / runs", fmt.Sprintf("%d / %d / %d", v.Requests, v.Tries, v.Runs)},
-		{"Goodput during faults", fmt.Sprint(r.Goodput)},
+		{"Goodput during faults", shares(r.Goodput)},
 		{"Goodput after healing", share(r.Healed)},
 		{"Double runs", fmt.Sprint(v.DoubleRuns)},
 		{"False NotRun", fmt.Sprint(v.FalseNotRun)},
--- a/crocusfake/internal/experimenter/phase.go
+++ b/crocusfake/internal/experimenter/phase.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"os"
+	"slices"
 	"strings"
 	"time"
 
@@ -148,6 +150,15 @@
 
 func share(v float64) string { return fmt.Sprintf("%.2f%%", 100*v) }
 
+// shares lists shares by name.
+func shares(m map[string]float64) string {
+	var parts []string
+	for _, name := range slices.Sorted(maps.Keys(m)) {
+		parts = append(parts, name+" "+share(m[name]))
+	}
+	return strings.Join(parts, ", ")
+}
+
 func (m Milliseconds) String() string { return fmt.Sprintf("%.2f ms", float64(m)) }
 
 func list(values []string) string { return strings.Join(values, " ") }
