--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 .PHONY: build test lint generate demo faults overload capacity soak
 
-MODULES := core crocusctl crocusd crocusfake
+MODULES := core crocusctl crocusd crocusfake platform
 
 build:
 	mkdir -p bin
--- a/core/configurer/load.go
+++ b/core/configurer/load.go
@@ -50,7 +50,7 @@
 func checkDistinct(c *reporter.Collector, n Node) {
 	seen := make(map[string]string)
 	for _, a := range []struct{ name, address string }{
-		{"Node.Link", n.Link}, {"Node.Entry", n.Entry}, {"Node.Outbound", n.Outbound}, {"Node.Admin", n.Admin},
+		{"Node.Link", n.Link}, {"Node.Entry", n.Entry}, {"Node.Outbound", n.Outbound}, {"Node.Ready", n.Ready}, {"Node.Admin", n.Admin},
 	} {
 		if a.address == "" || hasPortZero(a.address) {
 			continue
--- a/core/configurer/settings.go
+++ b/core/configurer/settings.go
@@ -31,7 +31,9 @@
 	Listen   string `yaml:"Listen"`
 	Entry    string `yaml:"Entry"`
 	Outbound string `yaml:"Outbound"`
-	Admin    string `yaml:"Admin"`
+	// Ready answers the platform's readiness questions; only where Hosted.
+	Ready string `yaml:"Ready"`
+	Admin string `yaml:"Admin"`
 }
 
 // Backend describes the backend server next to the node.
@@ -45,6 +47,14 @@
 // Platform says where release notes and instance lists are read.
 type Platform struct {
 	URL string `yaml:"URL"`
+	// Hosted selects the users' platform: its requests, its metadata store at
+	// URL and its members in place of release notes and instance lists.
+	Hosted bool `yaml:"Hosted"`
+	// Bounds holds the agreed bounds as texts of the form name=value.
+	Bounds []string `yaml:"Bounds"`
+	// Regions holds the region of each failure domain as texts of the form
+	// domain=region.
+	Regions []string `yaml:"Regions"`
 }
 
 // Limits bounds memory.
--- a/core/configurer/table.go
+++ b/core/configurer/table.go
@@ -55,10 +55,18 @@
 			}
 			return checkListen(s.Node.Listen)
 		}},
-	required("Node.Entry", "host:port", func(s *Settings) *string { return &s.Node.Entry }, checkListen,
-		"Listener for callers."),
+	{Name: "Node.Entry", Unit: "host:port", Range: "required unless Platform.Hosted", About: "Listener for callers.",
+		setDefault: func(*Settings) {},
+		check: func(s *Settings) string {
+			return checkWhere(!s.Platform.Hosted, s.Node.Entry, checkListen)
+		}},
 	required("Node.Outbound", "host:port", func(s *Settings) *string { return &s.Node.Outbound }, checkListen,
 		"Listener for calls that the backend server makes to other services."),
+	{Name: "Node.Ready", Unit: "host:port", Range: "required where Platform.Hosted", About: "Listener for the platform's readiness questions.",
+		setDefault: func(*Settings) {},
+		check: func(s *Settings) string {
+			return checkWhere(s.Platform.Hosted, s.Node.Ready, checkListen)
+		}},
 	required("Node.Admin", "host:port", func(s *Settings) *string { return &s.Node.Admin }, checkListen,
 		"Listener of the admin API."),
 	required("Backend.URL", "URL", func(s *Settings) *string { return &s.Backend.URL }, checkOrigin,
@@ -68,7 +76,16 @@
 	ordered("Backend.SlotsHint", "requests", func(s *Settings) *int { return &s.Backend.SlotsHint }, 0, 0, 100_000, strconv.Itoa,
 		"Slots of this instance in place of the release note's; 0 takes the note's."),
 	required("Platform.URL", "URL", func(s *Settings) *string { return &s.Platform.URL }, checkOrigin,
-		"Address of the configuration service, without a path."),
+		"Address of the configuration service or metadata store, without a path."),
+	{Name: "Platform.Hosted", Unit: "true or false", Default: "false", Range: "true, false",
+		About:      "Run on the users' platform: requests, configuration and members come from there, through the adapter in platform/.",
+		setDefault: func(*Settings) {}, check: func(*Settings) string { return "" }},
+	{Name: "Platform.Bounds", Unit: "list of name=value", Default: "none", Range: "texts",
+		About:      "Agreed bounds of the users' platform; unknown names are ignored.",
+		setDefault: func(*Settings) {}, check: func(*Settings) string { return "" }},
+	{Name: "Platform.Regions", Unit: "list of domain=region", Default: "none", Range: "texts",
+		About:      "Region of each failure domain on the users' platform; domains that are not listed count as the node's own region.",
+		setDefault: func(*Settings) {}, check: func(*Settings) string { return "" }},
 	{Name: "Seeds", Unit: "list of host:port", Default: "none", Range: "host and port each",
 		About:      "Link addresses of peers that are asked for state at startup when the platform is down.",
 		setDefault: func(*Settings) {}, check: func(*Settings) string { return "" }},
@@ -113,6 +130,18 @@
 		setDefault: func(s *Settings) { s.Log.Decisions = true }, check: func(*Settings) string { return "" }},
 }
 
+// checkWhere checks a text that is required under a condition and optional
+// otherwise.
+func checkWhere(needed bool, value string, check func(string) string) string {
+	switch {
+	case value != "":
+		return check(value)
+	case needed:
+		return "a value is required"
+	}
+	return ""
+}
+
 func required(name, unit string, field func(*Settings) *string, check func(string) string, about string) Setting {
 	return Setting{Name: name, Unit: unit, Range: "required", About: about,
 		setDefault: func(*Settings) {},
--- /dev/null
+++ b/core/matcher/matcher.go
@@ -0,0 +1,97 @@
+package matcher
+
+import (
+	"net"
+	"slices"
+	"strings"
+	"sync"
+
+	"crocustack/core/connector"
+)
+
+// Table finds routes. It is safe for concurrent use and isn't changed.
+type Table struct {
+	// byHost holds the routes of a host in lower case, the longest prefix first.
+	byHost map[string][]connector.Route
+	routes int
+}
+
+// NewTable builds a table of the routes of a configuration.
+func NewTable(routes []connector.Route) *Table {
+	t := &Table{byHost: make(map[string][]connector.Route), routes: len(routes)}
+	for _, r := range routes {
+		host := canonical(r.Host)
+		t.byHost[host] = append(t.byHost[host], r)
+	}
+	for _, rs := range t.byHost {
+		slices.SortStableFunc(rs, func(a, b connector.Route) int { return len(b.Prefix) - len(a.Prefix) })
+	}
+	return t
+}
+
+// Len is the number of routes.
+func (t *Table) Len() int { return t.routes }
+
+// Find returns the route of a host and path, and false when there is none.
+func (t *Table) Find(host, path string) (connector.Route, bool) {
+	for _, r := range t.byHost[canonical(host)] {
+		if strings.HasPrefix(path, r.Prefix) {
+			return r, true
+		}
+	}
+	return connector.Route{}, false
+}
+
+func canonical(host string) string {
+	if h, _, err := net.SplitHostPort(host); err == nil {
+		host = h
+	}
+	return strings.ToLower(host)
+}
+
+// Splitter chooses among the services of a route in proportion to their
+// weights. It is safe for concurrent use.
+type Splitter struct {
+	mu sync.Mutex
+	// credit holds, by route and service, how far the service is behind its
+	// share, in requests. The credits of a route sum to 0.
+	credit map[string]map[string]float64
+}
+
+// NewSplitter returns a splitter without history.
+func NewSplitter() *Splitter { return &Splitter{credit: make(map[string]map[string]float64)} }
+
+// Reset forgets the history, for a new configuration.
+func (s *Splitter) Reset() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	clear(s.credit)
+}
+
+// Choose returns the service of the next request of a route (smooth weighted
+// round robin).
+func (s *Splitter) Choose(r connector.Route) string {
+	if len(r.Shares) == 1 {
+		return r.Shares[0].Service
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	credit := s.credit[r.Name]
+	if credit == nil {
+		credit = make(map[string]float64, len(r.Shares))
+		s.credit[r.Name] = credit
+	}
+	total := 0.0
+	for _, share := range r.Shares {
+		total += share.Weight
+	}
+	best := r.Shares[0].Service
+	for _, share := range r.Shares {
+		credit[share.Service] += share.Weight / total
+		if credit[share.Service] > credit[best] {
+			best = share.Service
+		}
+	}
+	credit[best]--
+	return best
+}
--- a/core/resolver/attempt.go
+++ b/core/resolver/attempt.go
@@ -96,6 +96,9 @@
 	Allowance bool
 	// Ratio is true when the retry ratio of the service has room.
 	Ratio bool
+	// Move is true when an attempt that the backend server has not seen may be
+	// followed by one to another upstream.
+	Move bool
 }
 
 // Phase is the state of one attempt. The zero value is a new attempt.
@@ -180,6 +183,9 @@
 }
 
 func mayRetry(o Outcome, may Permissions) bool {
+	if o, ok := o.(NotRun); ok && may.Move && o.Reason.BeforeBackend() {
+		return true
+	}
 	if !may.Allowance || !may.Ratio {
 		return false
 	}
--- a/core/resolver/attempt_test.go
+++ b/core/resolver/attempt_test.go
@@ -35,7 +35,7 @@
 // a second final step.
 func TestNextRules(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		may := Permissions{rapid.Bool().Draw(t, "idempotent"), rapid.Bool().Draw(t, "allowance"), rapid.Bool().Draw(t, "ratio")}
+		may := Permissions{Idempotent: rapid.Bool().Draw(t, "idempotent"), Allowance: rapid.Bool().Draw(t, "allowance"), Ratio: rapid.Bool().Draw(t, "ratio")}
 		var phase Phase
 		sent, final := false, false
 		for _, e := range rapid.SliceOfN(rapid.SampledFrom(events), 1, 12).Draw(t, "events") {
@@ -78,7 +78,7 @@
 
 // TestNext guards the steps that the rules alone would allow to be too cautious.
 func TestNext(t *testing.T) {
-	all, safe, none := Permissions{true, true, true}, Permissions{false, true, true}, Permissions{}
+	all, safe, none := Permissions{Idempotent: true, Allowance: true, Ratio: true}, Permissions{Allowance: true, Ratio: true}, Permissions{}
 	for _, c := range []struct {
 		phase Phase
 		event Event
--- a/core/resolver/reason.go
+++ b/core/resolver/reason.go
@@ -62,8 +62,22 @@
 	ReasonBroken
 	// ReasonNotReady: the node has no release in force yet.
 	ReasonNotReady
+	// ReasonInstanceReplaced: another instance has the address of the upstream.
+	ReasonInstanceReplaced
 )
 
+// BeforeBackend tells whether a refusal for the reason shows that the attempt
+// ended before the backend server saw it, so that another upstream may take the
+// request without a retry being counted.
+func (r Reason) BeforeBackend() bool {
+	switch r {
+	case ReasonQueueFull, ReasonDraining, ReasonBackendUnreachable, ReasonNoLink, ReasonVoided, ReasonWrongIncarnation:
+		return true
+	default:
+		return false
+	}
+}
+
 // Overloaded tells whether the reason says that the service has too much work.
 // Such a refusal is never retried, since a retry adds load where there is too
 // much already.
--- a/core/router/decision.go
+++ b/core/router/decision.go
@@ -7,6 +7,9 @@
 // Upstream is one instance of a service.
 type Upstream struct {
 	Service, Address, Domain, Region string
+	// Instance is the id of the backend server's present run; empty when runs
+	// have no ids.
+	Instance string
 }
 
 // Why says by which rule an upstream was chosen.
--- a/core/router/router.go
+++ b/core/router/router.go
@@ -125,6 +125,18 @@
 	r.setLeaving(now, address, now)
 }
 
+// MarkUnreachable notes that no connection to the upstream could be opened. It
+// is avoided for a moment while there are others.
+func (r *Router) MarkUnreachable(now time.Duration, address string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, s := range r.services {
+		if st, ok := s.known[address]; ok {
+			st.markUnreachable(now)
+		}
+	}
+}
+
 func (r *Router) setLeaving(now time.Duration, address string, until time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -184,6 +196,7 @@
 	if s.rebuildAt > 0 && now >= s.rebuildAt {
 		r.rebuild(now, s)
 	}
+	exclude = withUnreachable(now, s, exclude)
 	local, localScore := r.choose(now, s, s.local, exclude, draw)
 	remote, remoteScore := r.choose(now, s, s.remote, exclude, draw)
 	switch {
@@ -198,6 +211,26 @@
 	}
 }
 
+// withUnreachable adds the upstreams that can't be connected to at present,
+// unless nothing else would be left.
+func withUnreachable(now time.Duration, s *service, exclude []string) []string {
+	all := slices.Clip(exclude)
+	left := 0
+	for _, st := range slices.Concat(s.local, s.remote) {
+		switch {
+		case slices.Contains(exclude, st.Address):
+		case st.usable(now):
+			left++
+		default:
+			all = append(all, st.Address)
+		}
+	}
+	if left == 0 {
+		return exclude
+	}
+	return all
+}
+
 // choose returns the better one of two different random candidates, or nil. A
 // candidate in its slow start gives way to the other one in most cases.
 func (r *Router) choose(now time.Duration, s *service, from []*stats, exclude []string, draw uint64) (*stats, float64) {
--- a/core/router/stats.go
+++ b/core/router/stats.go
@@ -75,6 +75,10 @@
 	rampFrom time.Duration
 	// No work is sent before leavingUntil.
 	leavingUntil time.Duration
+	// The upstream is only used before unreachableUntil when there is no other
+	// one. unreachable counts the failed connections in a row.
+	unreachableUntil time.Duration
+	unreachable      int
 
 	inFlight int // Attempts of this node.
 	// others is the reported load that other nodes cause.
@@ -91,6 +95,24 @@
 	return now < s.leavingUntil
 }
 
+// usable tells whether a connection may be tried.
+func (s *stats) usable(now time.Duration) bool { return now >= s.unreachableUntil }
+
+const (
+	// An upstream that can't be connected to is left alone for minAvoid, twice
+	// as long after each further failure, up to maxAvoid.
+	minAvoid = 250 * time.Millisecond
+	maxAvoid = 2 * time.Second
+)
+
+func (s *stats) markUnreachable(now time.Duration) {
+	if now < s.unreachableUntil {
+		return // Several requests waited for the same connection.
+	}
+	s.unreachableUntil = now + min(minAvoid<<min(s.unreachable, 8), maxAvoid)
+	s.unreachable++
+}
+
 // score estimates what a request costs at the upstream. typical is the latency
 // of an upstream that has not answered yet, or 0 if none has; the unit of the
 // latency doesn't matter then.
@@ -113,6 +135,9 @@
 
 func (s *stats) finish(now time.Duration, res Result) {
 	s.inFlight = max(s.inFlight-1, 0)
+	if !res.Failed {
+		s.unreachable, s.unreachableUntil = 0, 0
+	}
 	if res.Load.Limit > 0 {
 		s.limit = float64(res.Load.Limit)
 		s.others = fading{float64(max(res.Load.InFlight+res.Load.Queued-s.inFlight, 0)), now}
--- a/crocusctl/internal/commander/advice.go
+++ b/crocusctl/internal/commander/advice.go
@@ -82,6 +82,8 @@
 		"The answer broke off or failed its check.", "Look for a crash or a partition; repeat with the ticket, if there is one."},
 	resolver.ReasonNotReady: {"", notRun, "503",
 		"The node has no release in force yet.", "See the runbook for a platform outage if it lasts longer than a few seconds."},
+	resolver.ReasonInstanceReplaced: {"", notRun, "503",
+		"Another backend server has the address of the upstream.", "Nothing; the next list of members corrects it."},
 }
 
 // AdviceFor returns the text for a reason. A reason of a newer node has only
--- a/crocusd/internal/administrator/administrator.go
+++ b/crocusd/internal/administrator/administrator.go
@@ -42,10 +42,7 @@
 		w.Header().Set("Content-Type", "application/json")
 		_, _ = w.Write(n.Release())
 	}).Methods(http.MethodGet)
-	r.HandleFunc("/metrics", func(w http.ResponseWriter, _ *http.Request) {
-		w.Header().Set("Content-Type", "application/json")
-		metrics.WriteJSONOnce(rec.Registry(), w)
-	}).Methods(http.MethodGet)
+	r.Handle("/metrics", Metrics(rec)).Methods(http.MethodGet)
 	r.HandleFunc("/health", func(w http.ResponseWriter, _ *http.Request) { serveHealth(w, n) }).Methods(http.MethodGet)
 	r.HandleFunc("/drain", func(w http.ResponseWriter, _ *http.Request) {
 		n.Drain()
@@ -54,6 +51,14 @@
 	return r
 }
 
+// Metrics returns the handler that serves the counters and histograms.
+func Metrics(rec *recorder.Recorder) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "application/json")
+		metrics.WriteJSONOnce(rec.Registry(), w)
+	})
+}
+
 func serveDecisions(w http.ResponseWriter, r *http.Request, rec *recorder.Recorder) {
 	limit := defaultDecisions
 	if text := r.URL.Query().Get("limit"); text != "" {
--- a/crocusd/internal/commander/commander.go
+++ b/crocusd/internal/commander/commander.go
@@ -11,6 +11,7 @@
 	"github.com/jessevdk/go-flags"
 
 	"crocustack/core/configurer"
+	"crocustack/crocusd/internal/composer"
 	"crocustack/crocusd/internal/runner"
 )
 
@@ -61,14 +62,33 @@
 	if o.Check {
 		return exitOK
 	}
-	return serve(cfg, errOut)
+	return serve(o.Settings, b, cfg, out, errOut)
 }
 
-func serve(cfg configurer.Settings, errOut io.Writer) int {
+// node is a node that is put together.
+type node interface {
+	// Run serves until ctx ends, then stops gracefully.
+	Run(ctx context.Context) error
+	// Reload puts the settings in force that can change while the node runs,
+	// and logs which of the others need a restart.
+	Reload(cfg configurer.Settings)
+	// ReloadFailed logs why changed settings are not put in force.
+	ReloadFailed(err error)
+}
+
+func build(cfg configurer.Settings, out io.Writer) (node, error) {
+	if cfg.Platform.Hosted {
+		return composer.New(cfg, out)
+	}
+	return runner.New(cfg, out)
+}
+
+func serve(file string, b []byte, cfg configurer.Settings, out, errOut io.Writer) int {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
-	n, err := runner.New(cfg, errOut)
+	n, err := build(cfg, out)
 	if err == nil {
+		go newReloader(file, b, n).run(ctx)
 		err = n.Run(ctx)
 	}
 	if err != nil {
--- /dev/null
+++ b/crocusd/internal/composer/follow.go
@@ -0,0 +1,185 @@
+package composer
+
+import (
+	"cmp"
+	"context"
+	"math/rand/v2"
+	"net"
+	"slices"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"crocustack/core/connector"
+	"crocustack/core/observer"
+	"crocustack/core/releaser"
+	"crocustack/core/router"
+)
+
+const (
+	// watchWait is the longest wait of one watch. It bounds how long a
+	// connection to the store that went silent stays unnoticed.
+	watchWait = 2 * time.Second
+	// storeTimeout is how long past its wait an answer of the store may take.
+	storeTimeout = 700 * time.Millisecond
+	// After a failed read the next one follows after minPause, twice as long
+	// after each further failure, up to maxPause.
+	minPause = 100 * time.Millisecond
+	maxPause = 800 * time.Millisecond
+)
+
+// follow reads the store until ctx ends and puts in force what it says.
+func (n *Node) follow(ctx context.Context) {
+	f := follower{n: n, tracker: observer.New()}
+	failures := 0
+	for ctx.Err() == nil {
+		if f.step(ctx) {
+			failures = 0
+			continue
+		}
+		pause := min(minPause<<min(failures, 8), maxPause)
+		failures++
+		sleep(ctx, pause/2+time.Duration(rand.Int64N(int64(pause))))
+		f.expire()
+	}
+}
+
+// follower is the state of the reading loop.
+type follower struct {
+	n       *Node
+	tracker *observer.Tracker
+	// revision is that of the last answer; 0 when the state must be listed.
+	revision int64
+	// lost is true while the store doesn't answer.
+	lost bool
+}
+
+// step reads once and returns false when that failed.
+func (f *follower) step(ctx context.Context) bool {
+	began := f.n.clock.Now()
+	wait := watchWait
+	if f.revision == 0 {
+		wait = 0
+	}
+	ctx, cancel := context.WithTimeout(ctx, wait+storeTimeout)
+	defer cancel()
+	var cs connector.Changes
+	var err error
+	if f.revision == 0 {
+		cs, err = f.n.store.List(ctx)
+	} else {
+		cs, err = f.n.store.Watch(ctx, f.revision, f.tracker.Wait(began, wait))
+	}
+	now := f.n.clock.Now()
+	if err != nil {
+		f.failed(ctx, began, now, err)
+		return errors.Is(err, connector.ErrHistoryGone)
+	}
+	if f.lost {
+		f.lost = false
+		f.n.log.Info("store regained", "Revision", cs.Revision)
+	}
+	f.take(now, cs)
+	return true
+}
+
+func (f *follower) failed(ctx context.Context, began, now time.Duration, err error) {
+	if errors.Is(err, connector.ErrHistoryGone) {
+		f.n.log.Info("store dropped its history; listing it again", "Revision", f.revision)
+		f.revision = 0
+		return
+	}
+	if ctx.Err() != nil {
+		// Without an answer the store may have been away since the call began.
+		now = began
+	}
+	f.tracker.Failed(now)
+	if !f.lost {
+		f.lost = true
+		f.n.log.Info("store lost", "Revision", f.revision, "Error", err.Error())
+	}
+}
+
+// take applies an answer.
+func (f *follower) take(now time.Duration, cs connector.Changes) {
+	for _, c := range cs.Changes {
+		if u, ok := c.(connector.Unreadable); ok {
+			f.n.log.Info("entry of the store ignored", "Key", u.Key, "Error", u.Err.Error())
+		}
+	}
+	changed := false
+	if f.revision == 0 {
+		changed = f.tracker.Listed(now, cs)
+	} else {
+		changed = f.tracker.Changed(now, cs)
+	}
+	f.revision = cs.Revision
+	if f.tracker.Expire(now) || changed {
+		f.n.apply(now, f.tracker.View(), f.revision)
+	}
+}
+
+func (f *follower) expire() {
+	now := f.n.clock.Now()
+	if f.tracker.Expire(now) {
+		f.n.apply(now, f.tracker.View(), f.revision)
+	}
+}
+
+// apply puts a view in force.
+func (n *Node) apply(now time.Duration, v observer.View, revision int64) {
+	if v.Config.Version == 0 {
+		return
+	}
+	n.log.Info("view in force", "Config", v.Config.Version, "Members", len(v.Members), "Revision", revision)
+	nodes := max(len(v.Members), 1)
+	services := make(map[string]releaser.Service, len(v.Config.Services))
+	for name := range v.Config.Services {
+		services[name] = releaser.Service{Name: name, RetryRatio: n.bounds.Load().RetryRatio * retryShare}
+		n.router.SetUpstreams(now, name, n.upstreams(v, name))
+	}
+	n.forward.SetRetryBurst(n.bounds.Load().RetrySlack * retryShare / float64(nodes))
+	n.forward.SetServices(services)
+	n.setSlots(v)
+	n.dispatch.SetConfig(v.Config)
+}
+
+// retryShare is the part of the agreed retries that nodes spend themselves.
+// The rest is left for the calls of repeated runs, which count as repeats too.
+const retryShare = 0.5
+
+// upstreams returns the members of a service that take work, one for each
+// machine: where two runs name the same address, the later one has it.
+func (n *Node) upstreams(v observer.View, service string) []router.Upstream {
+	byHost := make(map[string]connector.Member)
+	for _, m := range v.Members {
+		host, _, err := net.SplitHostPort(m.Address)
+		if err != nil || m.Service != service && byHost[host].Born >= m.Born {
+			continue
+		}
+		if old, ok := byHost[host]; !ok || old.Born <= m.Born {
+			byHost[host] = m
+		}
+	}
+	var us []router.Upstream
+	for host, m := range byHost {
+		if m.Draining || m.Service != service {
+			continue
+		}
+		us = append(us, router.Upstream{
+			Service: service, Address: net.JoinHostPort(host, n.linkPort), Domain: m.Domain,
+			Region: cmp.Or(n.regions[m.Domain], n.cfg.Node.Region), Instance: m.Instance,
+		})
+	}
+	slices.SortFunc(us, func(a, b router.Upstream) int { return cmp.Compare(a.Address, b.Address) })
+	return us
+}
+
+// setSlots takes over the slots of the backend server next door.
+func (n *Node) setSlots(v observer.View) {
+	for _, m := range v.Members {
+		if host, _, err := net.SplitHostPort(m.Address); err == nil && host == n.backendHost && !m.Draining {
+			n.handler.SetLimits(m.Slots, 0, 0)
+		}
+	}
+}
--- /dev/null
+++ b/crocusd/internal/composer/peers.go
@@ -0,0 +1,39 @@
+package composer
+
+import (
+	"crocustack/core/encoder"
+	"crocustack/core/linker"
+	"crocustack/crocusd/internal/handler"
+)
+
+// Hello implements linker.Handler.
+func (n *Node) Hello() *encoder.Hello {
+	return &encoder.Hello{
+		Incarnation: handler.IncarnationMessage(n.self), Domain: n.cfg.Node.Domain, Region: n.cfg.Node.Region,
+		Draining: n.handler.Draining(),
+	}
+}
+
+// Opened implements linker.Handler.
+func (n *Node) Opened(l *linker.Link) {
+	if l.Peer().GetDraining() {
+		n.router.MarkLeaving(n.clock.Now(), l.Address())
+		return
+	}
+	n.router.ClearLeaving(n.clock.Now(), l.Address())
+}
+
+// Closed implements linker.Handler.
+func (n *Node) Closed(l *linker.Link, err error) {
+	n.log.Info("link closed", "Peer", l.Address(), "Error", err.Error())
+}
+
+// Stream implements linker.Handler.
+func (n *Node) Stream(l *linker.Link, s *linker.Stream) { n.handler.Stream(l, s) }
+
+// Control implements linker.Handler.
+func (n *Node) Control(l *linker.Link, m *encoder.Control) {
+	if _, ok := m.GetMessage().(*encoder.Control_Leaving); ok {
+		n.router.MarkLeaving(n.clock.Now(), l.Address())
+	}
+}
--- /dev/null
+++ b/crocusd/internal/dispatcher/dispatcher.go
@@ -0,0 +1,210 @@
+package dispatcher
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"crocustack/core/budgeter"
+	"crocustack/core/classifier"
+	"crocustack/core/connector"
+	"crocustack/core/matcher"
+	"crocustack/core/recorder"
+	"crocustack/core/resolver"
+	"crocustack/crocusd/internal/forwarder"
+	"crocustack/crocusd/internal/tracer"
+)
+
+const (
+	// allowance is the number of retries that a whole call tree may make. Half
+	// of it goes down with each call, so four levels get one each.
+	allowance = 4
+	// defaultBudget is the time for a request whose client and route state none.
+	defaultBudget = 10 * time.Second
+	// defaultBodyBytes bounds bodies while no configuration is in force.
+	defaultBodyBytes = 1 << 20
+)
+
+// Forwarder sends requests on.
+type Forwarder interface {
+	Forward(ctx context.Context, r forwarder.Request, sink forwarder.Sink) forwarder.Result
+}
+
+// routing is the configuration in force.
+type routing struct {
+	config connector.Config
+	table  *matcher.Table
+}
+
+// Dispatcher implements connector.Dispatcher. It is safe for concurrent use.
+type Dispatcher struct {
+	forward  Forwarder
+	runs     *tracer.Registry
+	rec      *recorder.Recorder
+	splitter *matcher.Splitter
+	routing  atomic.Pointer[routing]
+	leaving  atomic.Bool
+	active   atomic.Int64
+}
+
+// New returns a dispatcher without a configuration.
+func New(f Forwarder, runs *tracer.Registry, rec *recorder.Recorder) *Dispatcher {
+	return &Dispatcher{forward: f, runs: runs, rec: rec, splitter: matcher.NewSplitter()}
+}
+
+// SetConfig puts a configuration in force.
+func (d *Dispatcher) SetConfig(c connector.Config) {
+	if old := d.routing.Load(); old != nil && old.config.Version >= c.Version {
+		return
+	}
+	d.routing.Store(&routing{config: c, table: matcher.NewTable(c.Routes)})
+	d.splitter.Reset()
+}
+
+// Leave makes the node unready for the rest of its life. Requests that come in
+// are still served.
+func (d *Dispatcher) Leave() { d.leaving.Store(true) }
+
+// Leaving implements connector.Dispatcher.
+func (d *Dispatcher) Leaving() bool { return d.leaving.Load() }
+
+// Ready implements connector.Dispatcher.
+func (d *Dispatcher) Ready() bool { return d.routing.Load() != nil && !d.leaving.Load() }
+
+// Active is the number of requests that are not answered yet.
+func (d *Dispatcher) Active() int64 { return d.active.Load() }
+
+// Limits implements connector.Dispatcher.
+func (d *Dispatcher) Limits() connector.Limits {
+	if r := d.routing.Load(); r != nil && r.config.Limits.BodyBytes > 0 {
+		return r.config.Limits
+	}
+	return connector.Limits{BodyBytes: defaultBodyBytes}
+}
+
+// Dispatch implements connector.Dispatcher.
+func (d *Dispatcher) Dispatch(ctx context.Context, in connector.Inbound, sink connector.Sink) connector.Verdict {
+	d.active.Add(1)
+	defer d.active.Add(-1)
+	q, reason := d.request(in)
+	if reason != resolver.ReasonNone {
+		return d.refuse(q, in, reason)
+	}
+	result := d.forward.Forward(ctx, q, sink)
+	d.record(q, in, result)
+	switch o := result.Outcome.(type) {
+	case resolver.Ran:
+		return connector.Delivered{}
+	case resolver.NotRun:
+		return connector.Refused{Reason: o.Reason, RetryAfter: retryAfter(q, o.Reason, time.Now(), rand.Float64())}
+	case resolver.Unknown:
+		if result.Begun {
+			sink.Abort()
+		}
+		return connector.Failed{Reason: o.Reason}
+	}
+	panic("forwarder returned no outcome")
+}
+
+// request completes a request by what configuration and origin say of it.
+func (d *Dispatcher) request(in connector.Inbound) (forwarder.Request, resolver.Reason) {
+	q := forwarder.Request{
+		ID: in.ID, Method: in.Method, Host: in.Host, Path: in.Target, Headers: in.Headers, Body: in.Body,
+		Outbound: in.Parent != "",
+	}
+	r := d.routing.Load()
+	if r == nil {
+		return q, resolver.ReasonNotReady
+	}
+	route, ok := r.table.Find(in.Host, in.Path)
+	if !ok {
+		return q, resolver.ReasonUnknownKind
+	}
+	q.Service = d.splitter.Choose(route)
+	q.Kind = kindOf(route, q.Service)
+	q.Class = q.Kind.Class
+	q.MaxTries = route.MaxAttempts
+	q.Objective = route.Objective
+	q.Deadline = deadline(in, route)
+	d.tie(&q, in)
+	return q, resolver.ReasonNone
+}
+
+// deadline is when the client or the operators stop waiting.
+func deadline(in connector.Inbound, route connector.Route) time.Time {
+	budget := defaultBudget
+	if in.Budget > 0 {
+		budget = in.Budget
+	}
+	if route.Timeout > 0 {
+		budget = min(budget, route.Timeout)
+	}
+	return in.Arrived.Add(budget)
+}
+
+// tie makes a call of the backend server part of the tree of the request that
+// the backend server was running, and begins a new tree for all others.
+func (d *Dispatcher) tie(q *forwarder.Request, in connector.Inbound) {
+	q.TreeID = xxhash.Sum64String(in.ID)
+	if in.Parent == "" {
+		q.Pool = budgeter.NewPool(allowance)
+		return
+	}
+	q.Depth = 1
+	tied, ok := d.runs.Find(in.Parent, "").(tracer.Tied)
+	if !ok {
+		return
+	}
+	run := tied.Run
+	q.Parent, q.Class, q.TreeID, q.Depth, q.Pool = run.Kind, run.Class, run.TreeID, run.Depth+1, run.Pool
+	if run.Deadline.Before(q.Deadline) {
+		q.Deadline = run.Deadline
+	}
+}
+
+// classes maps the rank of a route to a class; further ranks are ClassBulk.
+var classes = []classifier.Class{classifier.ClassCritical, classifier.ClassStandard, classifier.ClassBrowse}
+
+func kindOf(r connector.Route, service string) classifier.Kind {
+	class := classifier.ClassBulk
+	if r.Rank >= 0 && r.Rank < len(classes) {
+		class = classes[r.Rank]
+	}
+	return classifier.Kind{
+		Name: r.Name, Service: service, PathPrefix: r.Prefix, Class: class, Idempotent: r.Idempotent,
+		Timeout: r.Timeout, Allowance: allowance,
+	}
+}
+
+func (d *Dispatcher) refuse(q forwarder.Request, in connector.Inbound, reason resolver.Reason) connector.Verdict {
+	d.record(q, in, forwarder.Result{Outcome: resolver.NotRun{Reason: reason}})
+	return connector.Refused{Reason: reason, RetryAfter: retryAfter(q, reason, time.Now(), rand.Float64())}
+}
+
+func (d *Dispatcher) record(q forwarder.Request, in connector.Inbound, result forwarder.Result) {
+	kind := recorder.KindAnswer
+	if q.Outbound {
+		kind = recorder.KindCall
+	}
+	version := int64(0)
+	if r := d.routing.Load(); r != nil {
+		version = r.config.Version
+	}
+	d.rec.Record(recorder.Decision{
+		Time: time.Now(), Kind: kind, RequestID: q.ID, Service: q.Service, KindName: q.Kind.Name, Class: q.Class,
+		Upstream: result.Upstream, Outcome: result.Outcome, Took: time.Since(in.Arrived),
+		Detail: fmt.Sprintf("config %d, tries %d, left %s", version, result.Tries, leftText(q)),
+	})
+}
+
+func leftText(q forwarder.Request) string {
+	if q.Deadline.IsZero() {
+		return "?"
+	}
+	return strconv.FormatInt(time.Until(q.Deadline).Milliseconds(), 10) + "ms"
+}
--- a/crocusd/internal/forwarder/forwarder.go
+++ b/crocusd/internal/forwarder/forwarder.go
@@ -28,10 +28,13 @@
 	// Find looks for upstreams of a service that the router knows none of. It
 	// may block for a moment and returns true when there are some.
 	Find func(ctx context.Context, service string) bool
+	// FreeMoves is how often a request may go on to another upstream without a
+	// unit of allowance when the backend server has not seen it.
+	FreeMoves int
 }
 
-// ratioBurst lets a service with little traffic retry at all.
-const ratioBurst = 10
+// defaultRatioBurst lets a service with little traffic retry at all.
+const defaultRatioBurst = 10
 
 // Forwarder runs the loop over tries. It is safe for concurrent use.
 type Forwarder struct {
@@ -47,14 +50,16 @@
 	minter *minter
 
 	mu sync.Mutex
+	// burst is the number of retries to a service that are saved up.
+	burst float64
 	// ratios holds the retry budget of each service in the release. A budget
 	// is kept while its share stays the same.
 	ratios map[string]serviceRatio
 }
 
 type serviceRatio struct {
-	share float64
-	ratio *budgeter.Ratio
+	share, burst float64
+	ratio        *budgeter.Ratio
 }
 
 // New returns a forwarder for the sender incarnation boot.
@@ -63,13 +68,21 @@
 ) *Forwarder {
 	return &Forwarder{
 		cfg: cfg, boot: boot, clock: clock, links: links, router: r, levels: levels, calls: calls, rec: rec,
-		seq: gatekeeper.NewSequencer(), minter: newMinter(), ratios: make(map[string]serviceRatio),
+		seq: gatekeeper.NewSequencer(), minter: newMinter(), burst: defaultRatioBurst, ratios: make(map[string]serviceRatio),
 	}
 }
 
 // Leaving drops what is kept for an upstream that takes no new work.
 func (f *Forwarder) Leaving(address string) { f.minter.drop(address) }
 
+// SetRetryBurst changes the number of retries to a service that this node saves
+// up. It holds from the next SetServices on.
+func (f *Forwarder) SetRetryBurst(burst float64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.burst = burst
+}
+
 // SetServices takes over the retry ratios of a new release.
 func (f *Forwarder) SetServices(services map[string]releaser.Service) {
 	f.mu.Lock()
@@ -80,8 +93,8 @@
 		}
 	}
 	for name, s := range services {
-		if old, ok := f.ratios[name]; !ok || old.share != s.RetryRatio {
-			f.ratios[name] = serviceRatio{share: s.RetryRatio, ratio: budgeter.NewRatio(s.RetryRatio, ratioBurst)}
+		if old, ok := f.ratios[name]; !ok || old.share != s.RetryRatio || old.burst != f.burst {
+			f.ratios[name] = serviceRatio{share: s.RetryRatio, burst: f.burst, ratio: budgeter.NewRatio(s.RetryRatio, f.burst)}
 		}
 	}
 }
@@ -109,7 +122,9 @@
 	ratio := f.ratio(q.Service)
 	ratio.Deposit()
 	loop := &loop{f: f, q: q, sink: &trackingSink{Sink: sink}, ratio: ratio}
-	return loop.run(ctx)
+	result := loop.run(ctx)
+	result.Begun = loop.sink.begun
+	return result
 }
 
 // loop is the state of one request between its tries.
@@ -122,7 +137,9 @@
 	excluded []string
 	// doubt is the first Unknown outcome of a try, or nil. The request as a
 	// whole can't be NotRun after it.
-	doubt  resolver.Outcome
+	doubt resolver.Outcome
+	// moves counts the tries that ended before the backend server saw them.
+	moves  int
 	result Result
 }
 
--- a/crocusd/internal/forwarder/request.go
+++ b/crocusd/internal/forwarder/request.go
@@ -5,6 +5,7 @@
 
 	"crocustack/core/budgeter"
 	"crocustack/core/classifier"
+	"crocustack/core/connector"
 	"crocustack/core/encoder"
 	"crocustack/core/gatekeeper"
 	"crocustack/core/resolver"
@@ -23,10 +24,18 @@
 	Depth  uint32
 	// Deadline is on this node's clock; nobody else sees it.
 	Deadline time.Time
+	// Objective is the time within which an answer has its full value; 0 when
+	// there is none.
+	Objective time.Duration
 	// Pool holds the retries of the tree that this node may hand down; nil
 	// when the request may not be retried.
-	Pool    *budgeter.Pool
-	Method  string
+	Pool *budgeter.Pool
+	// MaxTries bounds the backend servers that the request reaches; 0 for no
+	// bound of its own.
+	MaxTries int
+	Method   string
+	// Host is the Host header, or empty when it doesn't matter.
+	Host    string
 	Path    string // Path and query below the service, beginning with "/".
 	Headers []*encoder.Header
 	Body    []byte
@@ -42,15 +51,8 @@
 	Parent string
 }
 
-// Sink receives an answer. Head comes first and once.
-type Sink interface {
-	// Head starts the answer. length is -1 when it is not known yet.
-	Head(status int, headers []*encoder.Header, length int64)
-	Write(b []byte) error
-	// Abort ends an answer that broke off after Head, so that the caller can't
-	// take it for whole.
-	Abort()
-}
+// Sink receives an answer.
+type Sink = connector.Sink
 
 // Result is what is known about a request when its loop ends.
 type Result struct {
@@ -59,4 +61,6 @@
 	Upstream string
 	// Tries is the number of tries that were sent.
 	Tries int
+	// Begun is true when the sink has been given the head of an answer.
+	Begun bool
 }
--- a/crocusd/internal/forwarder/try.go
+++ b/crocusd/internal/forwarder/try.go
@@ -28,6 +28,9 @@
 	p := t.loop
 	l, err := p.f.links.Get(ctx, t.upstream.Address)
 	if err != nil {
+		if ctx.Err() == nil {
+			p.f.router.MarkUnreachable(p.f.clock.Now(), t.upstream.Address)
+		}
 		return resolver.NothingWritten{Reason: resolver.ReasonNoLink}
 	}
 	if p.q.Ticket != nil && l.Peer().GetIncarnation().GetBootId() != p.q.Ticket.Home.BootID {
@@ -127,6 +130,8 @@
 		BodyLength:      uint64(len(q.Body)),
 		Repeat:          q.Repeat,
 		RequestId:       q.ID,
+		Host:            q.Host,
+		Instance:        t.upstream.Instance,
 	}
 	if q.Ticket != nil {
 		t.run.Ticket = q.Ticket.Message()
@@ -185,8 +190,9 @@
 
 func (t *try) permissions() resolver.Permissions {
 	p := t.loop
-	may := resolver.Permissions{Idempotent: p.q.Kind.Idempotent}
+	may := resolver.Permissions{Idempotent: p.q.Kind.Idempotent, Move: p.moves < p.f.cfg.FreeMoves}
 	switch {
+	case p.q.MaxTries > 0 && p.reached() >= p.q.MaxTries:
 	case p.sink.begun:
 		// The caller has seen the head of an answer; a second one can't follow.
 	case p.f.cfg.PassThrough:
@@ -197,12 +203,21 @@
 	return may
 }
 
+// reached is the number of tries, the present one included, that a backend
+// server may have seen.
+func (p *loop) reached() int { return p.result.Tries - p.moves }
+
 // takeRetry takes the units for another try and reports whether there were any.
 func (t *try) takeRetry() bool {
 	p := t.loop
 	if p.f.cfg.PassThrough {
 		return true
 	}
+	if o, ok := p.result.Outcome.(resolver.NotRun); ok && o.Reason.BeforeBackend() && p.moves < p.f.cfg.FreeMoves {
+		p.moves++
+		p.record(recorder.KindRetry, t.upstream.Address, p.result.Outcome, resolver.ReasonNone, "another upstream")
+		return true
+	}
 	allowed := p.ratio.TryRetry() && p.q.Pool.Spend()
 	detail := "another try"
 	if !allowed {
--- a/crocusd/internal/handler/backend.go
+++ b/crocusd/internal/handler/backend.go
@@ -13,9 +13,9 @@
 
 	"github.com/cockroachdb/errors"
 
+	"crocustack/core/connector"
 	"crocustack/core/encoder"
 	"crocustack/core/resolver"
-	"crocustack/crocusd/internal/tracer"
 )
 
 // Headers between the gate and its backend server.
@@ -47,28 +47,6 @@
 	}
 }
 
-// reply is what came of handing a request to the backend server: answered,
-// notRun or lost.
-//
-//sumtype:decl
-type reply interface{ reply() }
-
-// answered carries the response; its body must be closed.
-type answered struct{ resp *http.Response }
-
-// notRun says that the backend server did not run the request.
-type notRun struct {
-	reason   resolver.Reason
-	draining bool
-}
-
-// lost says that the request may have run.
-type lost struct{ reason resolver.Reason }
-
-func (answered) reply() {}
-func (notRun) reply()   {}
-func (lost) reply()     {}
-
 // opaqueBody hides the body's type from the HTTP transport, which would replay
 // a request with a known body on a new connection. That could run a request
 // twice, and for idempotent kinds it would be a retry that no allowance counts.
@@ -76,51 +54,68 @@
 
 func (opaqueBody) Close() error { return nil }
 
-// call hands a request to the backend server.
-func (h *Handler) call(ctx context.Context, m *encoder.Run, body []byte, run *tracer.Run) reply {
+// httpBackend speaks the project's own HTTP interface to a backend server. It
+// implements connector.Backend.
+type httpBackend struct {
+	url    string // Without a slash at the end.
+	client *http.Client
+}
+
+// NewHTTPBackend returns the client of a backend server that speaks the
+// project's own interface.
+func NewHTTPBackend(url string) connector.Backend {
+	return &httpBackend{url: url, client: &http.Client{Transport: backendTransport(), CheckRedirect: noRedirect}}
+}
+
+// noRedirect hands a redirect to the caller instead of following it: following
+// would run a second request.
+func noRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+
+// Do implements connector.Backend.
+func (b *httpBackend) Do(ctx context.Context, c connector.Call) connector.Reply {
 	connected := false
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GotConn: func(httptrace.GotConnInfo) { connected = true },
 	})
-	req, err := h.request(ctx, m, body, run)
+	req, err := b.request(ctx, c)
 	if err != nil {
-		return notRun{reason: resolver.ReasonBadRequest}
+		return connector.NotRun{Reason: resolver.ReasonBadRequest}
 	}
-	resp, err := h.client.Do(req)
+	resp, err := b.client.Do(req)
 	if err != nil {
 		if connected {
-			return lost{reason: resolver.ReasonBackendLost}
+			return connector.Lost{Reason: resolver.ReasonBackendLost}
 		}
 		if ctx.Err() != nil {
-			return notRun{reason: resolver.ReasonDeadlineExceeded}
+			return connector.NotRun{Reason: resolver.ReasonDeadlineExceeded}
 		}
-		return notRun{reason: resolver.ReasonBackendUnreachable}
+		return connector.NotRun{Reason: resolver.ReasonBackendUnreachable}
 	}
 	if resp.StatusCode == http.StatusServiceUnavailable && resp.Header.Get(HeaderOutcome) == "NotRun" {
 		_ = resp.Body.Close()
-		return notRun{reason: resolver.ReasonBackendRefused, draining: resp.Header.Get(HeaderDraining) == "true"}
+		return connector.NotRun{Reason: resolver.ReasonBackendRefused, Draining: resp.Header.Get(HeaderDraining) == "true"}
 	}
-	return answered{resp: resp}
+	return connector.Answered{Status: resp.StatusCode, Headers: PassedHeaders(resp.Header), Body: resp.Body}
 }
 
-func (h *Handler) request(ctx context.Context, m *encoder.Run, body []byte, run *tracer.Run) (*http.Request, error) {
-	req, err := http.NewRequestWithContext(ctx, m.GetMethod(), h.cfg.BackendURL+m.GetPath(), bytes.NewReader(body))
+func (b *httpBackend) request(ctx context.Context, c connector.Call) (*http.Request, error) {
+	req, err := http.NewRequestWithContext(ctx, c.Method, b.url+c.Path, bytes.NewReader(c.Body))
 	if err != nil {
 		return nil, errors.Wrap(err, "build request")
 	}
-	req.Body = opaqueBody{bytes.NewReader(body)}
+	req.Body = opaqueBody{bytes.NewReader(c.Body)}
 	req.GetBody = nil
-	req.ContentLength = int64(len(body))
-	for _, hd := range m.GetHeaders() {
+	req.ContentLength = int64(len(c.Body))
+	for _, hd := range c.Headers {
 		for _, v := range hd.GetValues() {
 			req.Header.Add(hd.GetName(), v)
 		}
 	}
 	deadline, _ := ctx.Deadline()
-	req.Header.Set(HeaderParent, run.Token)
-	req.Header.Set(HeaderRequest, run.RequestID)
+	req.Header.Set(HeaderParent, c.Parent)
+	req.Header.Set(HeaderRequest, c.RequestID)
 	req.Header.Set(HeaderTimeout, strconv.FormatInt(max(time.Until(deadline).Milliseconds(), 1), 10))
-	req.Header.Set(headerTrace, "00-"+run.TraceID+"-"+run.Token+"-01")
+	req.Header.Set(headerTrace, "00-"+c.Trace+"-"+c.Parent+"-01")
 	return req, nil
 }
 
--- a/crocusd/internal/handler/execute.go
+++ b/crocusd/internal/handler/execute.go
@@ -9,6 +9,7 @@
 
 	"crocustack/core/admitter"
 	"crocustack/core/budgeter"
+	"crocustack/core/connector"
 	"crocustack/core/encoder"
 	"crocustack/core/gatekeeper"
 	"crocustack/core/linker"
@@ -35,25 +36,28 @@
 		}()
 	}
 	start := h.clock.Now()
-	r := h.call(ctx, m, body, run)
+	r := h.backend.Do(ctx, connector.Call{
+		RequestID: run.RequestID, Instance: m.GetInstance(), Method: m.GetMethod(), Host: m.GetHost(), Path: m.GetPath(),
+		Headers: m.GetHeaders(), Body: body, Parent: run.Token, Trace: run.TraceID,
+	})
 	result := admitter.Result{}
 	switch r := r.(type) {
-	case answered:
-		result.Failed = r.resp.StatusCode >= http.StatusInternalServerError
-		h.deliver(s, m, run, r.resp)
-	case notRun:
-		if r.draining {
+	case connector.Answered:
+		result.Failed = r.Status >= http.StatusInternalServerError
+		h.deliver(s, m, run, r)
+	case connector.NotRun:
+		if r.Draining {
 			h.Leave()
 		}
 		h.runs.Remove(run)
 		h.withdraw(m)
 		// The backend server may have called other services before it refused.
-		h.refuse(s, m, r.reason, takeRest(run.Pool))
+		h.refuse(s, m, r.Reason, takeRest(run.Pool))
 		result.Refused = true
-	case lost:
+	case connector.Lost:
 		h.runs.Remove(run)
-		h.finish(m, gatekeeper.Answer{Outcome: resolver.Unknown{Reason: r.reason}})
-		h.doubt(s, m, r.reason, 0)
+		h.finish(m, gatekeeper.Answer{Outcome: resolver.Unknown{Reason: r.Reason}})
+		h.doubt(s, m, r.Reason, 0)
 	}
 	result.Latency = h.clock.Now() - start
 	result.Cancelled = ctx.Err() != nil
@@ -76,15 +80,19 @@
 	if traceID == "" {
 		traceID = newToken() + newToken()
 	}
+	token := m.GetRequestId()
+	if !h.cfg.TokenIsRequest {
+		token = newToken()
+	}
 	return &tracer.Run{
-		Token: newToken(), TraceID: traceID, RequestID: m.GetRequestId(), Kind: m.GetKind(), Class: classOf(m),
+		Token: token, TraceID: traceID, RequestID: m.GetRequestId(), Kind: m.GetKind(), Class: classOf(m),
 		TreeID: m.GetTreeId(), Depth: m.GetDepth(), Deadline: deadlineOf(ctx), Pool: budgeter.NewPool(m.GetAllowance()),
 	}
 }
 
 // deliver sends the backend server's response: held until whole when it is
 // short, streamed when it is long.
-func (h *Handler) deliver(s *linker.Stream, m *encoder.Run, run *tracer.Run, resp *http.Response) {
+func (h *Handler) deliver(s *linker.Stream, m *encoder.Run, run *tracer.Run, resp connector.Answered) {
 	defer func() { _ = resp.Body.Close() }()
 	held, err := io.ReadAll(io.LimitReader(resp.Body, h.cfg.HoldAnswerBytes+1))
 	long := int64(len(held)) > h.cfg.HoldAnswerBytes
@@ -95,8 +103,8 @@
 		return
 	}
 	head := &encoder.Answer{
-		Id: m.GetId(), Outcome: encoder.Outcome_OUTCOME_RAN, Status: uint32(resp.StatusCode),
-		Headers: PassedHeaders(resp.Header), Load: h.loadMessage(m.GetKind()), BodyLength: -1,
+		Id: m.GetId(), Outcome: encoder.Outcome_OUTCOME_RAN, Status: uint32(resp.Status),
+		Headers: resp.Headers, Load: h.loadMessage(m.GetKind()), BodyLength: -1,
 		Responder: IncarnationMessage(h.self),
 	}
 	if long {
@@ -105,8 +113,8 @@
 	}
 	head.BodyLength = int64(len(held))
 	h.runs.Remove(run)
-	outcome := resolver.Ran{Status: resp.StatusCode}
-	h.finish(m, gatekeeper.Answer{Status: resp.StatusCode, Headers: head.GetHeaders(), Body: held, Outcome: outcome})
+	outcome := resolver.Ran{Status: resp.Status}
+	h.finish(m, gatekeeper.Answer{Status: resp.Status, Headers: head.GetHeaders(), Body: held, Outcome: outcome})
 	sendWhole(s, head, held, takeRest(run.Pool))
 }
 
--- a/crocusd/internal/handler/handler.go
+++ b/crocusd/internal/handler/handler.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -10,6 +9,7 @@
 	"github.com/cockroachdb/errors"
 
 	"crocustack/core/admitter"
+	"crocustack/core/connector"
 	"crocustack/core/detector"
 	"crocustack/core/encoder"
 	"crocustack/core/gatekeeper"
@@ -22,12 +22,14 @@
 
 // Config holds the settings of the gate side.
 type Config struct {
-	BackendURL      string // Without a slash at the end.
 	MaxBodyBytes    int64
 	HoldAnswerBytes int64 // Answers up to this size are held until whole.
 	// PassThrough turns the admission off, for the baseline.
 	PassThrough    bool
 	PauseThreshold time.Duration
+	// TokenIsRequest makes the request's id the token by which calls of a run
+	// are told to belong to it.
+	TokenIsRequest bool
 	Admission      admitter.Config
 	Gate           gatekeeper.Config
 }
@@ -35,16 +37,16 @@
 // Handler serves the exchanges that other nodes open. It is safe for
 // concurrent use.
 type Handler struct {
-	cfg    Config
-	self   gatekeeper.Incarnation
-	clock  timekeeper.Clock
-	client *http.Client
-	runs   *tracer.Registry
-	calls  *tracer.Calls
-	levels *admitter.Levels
-	rec    *recorder.Recorder
-	adm    *admission
-	pause  *detector.Pause
+	cfg     Config
+	self    gatekeeper.Incarnation
+	clock   timekeeper.Clock
+	backend connector.Backend
+	runs    *tracer.Registry
+	calls   *tracer.Calls
+	levels  *admitter.Levels
+	rec     *recorder.Recorder
+	adm     *admission
+	pause   *detector.Pause
 
 	gateMu sync.Mutex
 	gate   *gatekeeper.Gate
@@ -57,12 +59,12 @@
 }
 
 // New returns a handler for the backend server of this node.
-func New(cfg Config, self gatekeeper.Incarnation, clock timekeeper.Clock, runs *tracer.Registry,
+func New(cfg Config, backend connector.Backend, self gatekeeper.Incarnation, clock timekeeper.Clock, runs *tracer.Registry,
 	calls *tracer.Calls, levels *admitter.Levels, rec *recorder.Recorder,
 ) *Handler {
 	return &Handler{
 		cfg: cfg, self: self, clock: clock, runs: runs, calls: calls, levels: levels, rec: rec,
-		client:   &http.Client{Transport: backendTransport(), CheckRedirect: noRedirect},
+		backend:  backend,
 		adm:      newAdmission(clock, cfg.Admission),
 		pause:    detector.NewPause(cfg.PauseThreshold),
 		gate:     gatekeeper.New(cfg.Gate, self),
@@ -70,10 +72,6 @@
 	}
 }
 
-// noRedirect hands a redirect to the caller instead of following it: following
-// would run a second request.
-func noRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
-
 // Run lets time pass for the admission and the pause detection until ctx ends.
 func (h *Handler) Run(ctx context.Context) {
 	go h.adm.run(ctx)
--- a/crocusd/internal/runner/runner.go
+++ b/crocusd/internal/runner/runner.go
@@ -105,14 +105,14 @@
 	}, program, n)
 	passThrough := cfg.Policy == configurer.PolicyPassThrough
 	n.handler = handler.New(handler.Config{
-		BackendURL: cfg.Backend.URL, MaxBodyBytes: int64(cfg.Limits.MaxBodyBytes), HoldAnswerBytes: int64(cfg.Limits.HoldAnswerBytes),
+		MaxBodyBytes: int64(cfg.Limits.MaxBodyBytes), HoldAnswerBytes: int64(cfg.Limits.HoldAnswerBytes),
 		PassThrough: passThrough, PauseThreshold: cfg.Timing.PauseThreshold,
 		Admission: admitter.Config{Slots: max(cfg.Backend.SlotsHint, 1)},
 		Gate: gatekeeper.Config{
 			MaxRecords: cfg.Limits.MaxRecords, MaxAnswerBytes: int(cfg.Limits.MaxAnswerBytes),
 			MaxAnswer: int(cfg.Limits.HoldAnswerBytes), TicketLifetime: cfg.Limits.TicketLifetime,
 		},
-	}, n.self, n.clock, runs, calls, n.levels, n.rec)
+	}, handler.NewHTTPBackend(cfg.Backend.URL), n.self, n.clock, runs, calls, n.levels, n.rec)
 	n.forward = forwarder.New(forwarder.Config{
 		HoldAnswerBytes: int(cfg.Limits.HoldAnswerBytes), TicketLifetime: cfg.Limits.TicketLifetime,
 		PassThrough: passThrough, Find: n.find,
