admitter, budgeter, handler: limits from stated slots, levels from demand, repeats counted at the gate

Ruled out: a longer queue alone: the trees then fail at their deadline. Conclusion: the gate sees every arrival of its backend server, so the shared retry budget can be kept there without the nodes talking.

--- a/core/admitter/admitter.go
+++ b/core/admitter/admitter.go
@@ -24,6 +24,14 @@
 	QueueLength int
 	// Target is the acceptable queueing delay; default QueueTime / 2.
 	Target time.Duration
+	// Stated says that Slots is what the backend server really runs at once. The
+	// limit is then LimitShare of it and nothing is learned about it; a request
+	// may wait as long as its deadline leaves time for it, and the level comes
+	// from demand and capacity. Otherwise limit and level are found by trial.
+	Stated bool
+	// LimitShare is the part of the stated slots that is used; default 0.95,
+	// since many servers slow down when nearly full.
+	LimitShare float64
 	// RampTime is the time from a cold start to the full limit; default 3 s,
 	// negative for none.
 	RampTime time.Duration
@@ -33,6 +41,12 @@
 	c.Slots = max(c.Slots, 1)
 	if c.QueueTime <= 0 {
 		c.QueueTime = 50 * time.Millisecond
+		if c.Stated {
+			c.QueueTime = 5 * time.Second
+		}
+	}
+	if c.LimitShare <= 0 {
+		c.LimitShare = 0.95
 	}
 	if c.Target <= 0 {
 		c.Target = c.QueueTime / 2
@@ -79,7 +93,8 @@
 type running struct {
 	class    classifier.Class
 	kind     *baseline
-	inFlight int // At the admission, with the request itself.
+	name     string // Of the kind.
+	inFlight int    // At the admission, with the request itself.
 }
 
 // Admitter is the admission control of one gate. It is not safe for concurrent
@@ -88,6 +103,8 @@
 	cfg     Config
 	limiter limiter
 	leveler leveler
+	// planner replaces the leveler where the slots are stated.
+	planner planner
 	queue   queue
 	// inFlight never holds more than the limit at the time of the admission.
 	inFlight map[uint64]running
@@ -110,21 +127,28 @@
 // New returns an admitter. Its ramp starts with the first call.
 func New(cfg Config) *Admitter {
 	cfg = cfg.withDefaults()
-	return &Admitter{
+	a := &Admitter{
 		cfg:      cfg,
 		limiter:  newLimiter(cfg.Slots, cfg.RampTime),
+		planner:  newPlanner(),
 		inFlight: make(map[uint64]running),
 	}
+	a.limiter.fixed = cfg.Stated
+	a.SetSlots(0, cfg.Slots)
+	return a
 }
 
 // Offer decides about a new request.
 func (a *Admitter) Offer(now time.Duration, r Request) []Decision {
 	a.limiter.start(now)
 	r.Class = min(max(r.Class, 0), classifier.NumClasses-1)
-	e := entry{Request: r, arrived: now, priority: Priority(r.Class, r.TreeID)}
+	e := entry{Request: r, arrived: now, latest: a.latestStart(r), priority: Priority(r.Class, r.TreeID)}
 	if e.expired(now, a.cfg.QueueTime) {
 		return []Decision{Shed{r.ID, resolver.ReasonDeadlineExceeded}}
 	}
+	if a.cfg.Stated {
+		a.planner.offer(r.Class, r.Kind)
+	}
 	a.leveler.offered[e.priority]++
 	// A free slot that nobody waits for is used whatever the level, so that a
 	// level that has not yet fallen wastes no capacity.
@@ -132,9 +156,13 @@
 		a.admit(now, e)
 		return a.flush()
 	}
-	if e.priority < a.leveler.level {
+	if a.cfg.Stated && a.startIn(now, e) > e.latest {
+		return []Decision{Shed{r.ID, resolver.ReasonQueueFull}}
+	}
+	if e.priority < a.level() && (r.Depth == 0 || !a.cfg.Stated) {
 		return []Decision{Shed{r.ID, resolver.ReasonLevelBelow}}
 	}
+	e.hold = a.planner.hold(r.Kind)
 	a.queue.push(e)
 	a.dispatch(now)
 	if a.queue.len > a.queueLength() {
@@ -146,6 +174,36 @@
 	return a.flush()
 }
 
+// latestStart is the time after which a request can't be answered in time any
+// more, or 0 when it has no deadline.
+func (a *Admitter) latestStart(r Request) time.Duration {
+	if r.Deadline <= 0 || !a.cfg.Stated {
+		return r.Deadline
+	}
+	return max(r.Deadline-a.planner.hold(r.Kind), 1)
+}
+
+// startIn estimates when a queued request would get a slot: the requests that go
+// before it share the limit.
+func (a *Admitter) startIn(now time.Duration, e entry) time.Duration {
+	if e.latest <= 0 {
+		return 0
+	}
+	ahead := time.Duration(0)
+	for c := e.Class; c < classifier.NumClasses; c++ {
+		ahead += a.queue.work[c]
+	}
+	return now + ahead/time.Duration(max(a.limiter.last, 1))
+}
+
+// level is the admission level in force.
+func (a *Admitter) level() uint32 {
+	if a.cfg.Stated {
+		return a.planner.level
+	}
+	return a.leveler.level
+}
+
 // Release ends an admitted request. It ignores an unknown ID.
 func (a *Admitter) Release(now time.Duration, id uint64, res Result) []Decision {
 	run, ok := a.inFlight[id]
@@ -156,6 +214,9 @@
 	if run.class < classifier.ClassCritical {
 		a.lower--
 	}
+	if a.cfg.Stated && !res.Refused && !res.Cancelled {
+		a.planner.sample(run.name, res.Latency)
+	}
 	switch {
 	case res.Refused:
 		a.limiter.refused(now, run.inFlight)
@@ -195,6 +256,10 @@
 }
 
 func (a *Admitter) endWindow(now time.Duration) {
+	if a.cfg.Stated {
+		a.planner.endWindow(now, a.limiter.effective(now), a.queue.totalWork())
+		return
+	}
 	limit := a.limiter.effective(now)
 	a.limiter.endWindow(now, a.peak)
 	if a.leveler.endWindow(now, &a.queue) {
@@ -218,7 +283,11 @@
 // SetSlots changes the upper bound of the limit when a new note is in force.
 func (a *Admitter) SetSlots(now time.Duration, slots int) {
 	a.cfg.Slots = max(slots, 1)
-	a.limiter.setSlots(now, a.cfg.Slots)
+	limit := a.cfg.Slots
+	if a.cfg.Stated {
+		limit = max(int(a.cfg.LimitShare*float64(limit)), 1)
+	}
+	a.limiter.setSlots(now, limit)
 }
 
 // SetQueue changes the bounds of the queue when a new note is in force; 0 takes
@@ -239,7 +308,7 @@
 		InFlight: len(a.inFlight),
 		Queued:   a.queue.len,
 		Limit:    a.limiter.last,
-		Level:    a.leveler.level,
+		Level:    a.level(),
 	}
 }
 
@@ -274,7 +343,7 @@
 
 func (a *Admitter) admit(now time.Duration, e entry) {
 	a.noteWait(now, e)
-	a.inFlight[e.ID] = running{class: e.Class, kind: a.limiter.baseline(e.Kind), inFlight: len(a.inFlight) + 1}
+	a.inFlight[e.ID] = running{class: e.Class, kind: a.limiter.baseline(e.Kind), name: e.Kind, inFlight: len(a.inFlight) + 1}
 	if e.Class < classifier.ClassCritical {
 		a.lower++
 	}
--- a/core/admitter/limiter.go
+++ b/core/admitter/limiter.go
@@ -136,6 +136,8 @@
 // limiter is the adaptive concurrency limit.
 type limiter struct {
 	slots float64
+	// fixed keeps the limit at slots whatever the latencies and refusals.
+	fixed bool
 	// limit is between 1 and slots.
 	limit float64
 	// last is the value that effective returned last.
@@ -187,6 +189,10 @@
 // effective returns the number of requests that may be in flight.
 func (l *limiter) effective(now time.Duration) int {
 	n := l.limit
+	if l.fixed {
+		l.last = max(int(l.slots), 1)
+		return l.last
+	}
 	if elapsed := now - l.rampFrom; elapsed < l.rampTime {
 		n = min(n, l.slots*max(rampStart, float64(elapsed)/float64(l.rampTime)))
 	}
@@ -237,6 +243,9 @@
 // another reason costs one slot.
 func (l *limiter) refused(now time.Duration, n int) {
 	l.stage = stageNormal
+	if l.fixed {
+		return
+	}
 	if limit := float64(l.effective(now)); limit >= float64(n) {
 		l.setLimit(now, limit-1, limit)
 	}
--- /dev/null
+++ b/core/admitter/planner.go
@@ -0,0 +1,111 @@
+package admitter
+
+import (
+	"math"
+	"time"
+
+	"crocustack/core/classifier"
+)
+
+const (
+	// plannedShare is the part of the limit that is planned to be busy. The rest
+	// absorbs random arrivals.
+	plannedShare = 0.92
+	// demandTime is the time constant with which demand is averaged, and
+	// adoptTime the one with which a new level reaches the senders: it travels on
+	// answers, through up to three services.
+	demandTime = 400 * time.Millisecond
+	adoptTime  = 250 * time.Millisecond
+	// drainTime is the time within which requests that wait should get a slot.
+	drainTime = 500 * time.Millisecond
+	// minPassing is the passing part of a class below which its demand can't be
+	// told from what still arrives.
+	minPassing = 1.0 / 16
+	// holdWeight is the weight of one sample in the mean time that a kind holds
+	// a slot.
+	holdWeight = 1.0 / 32
+)
+
+// planner computes the admission level from demand and capacity: the slots that
+// the requests of each class keep busy against the slots that there are. It
+// doesn't wait for a queue, which in a tree of calls is seen too late to be
+// avoided.
+type planner struct {
+	// holds is the mean time in seconds that each kind holds a slot.
+	holds map[string]float64
+	// work is the slot time in seconds of this window's arrivals by class.
+	work [classifier.NumClasses]float64
+	// demand is the number of slots that each class would keep busy if all of
+	// its trees were admitted.
+	demand [classifier.NumClasses]float64
+	// adopted is the level that the senders apply, as far as it can be told.
+	adopted float64
+	level   uint32
+	last    time.Duration
+}
+
+func newPlanner() planner { return planner{holds: make(map[string]float64)} }
+
+// hold returns the mean time that a kind holds a slot, or 0 when it isn't known.
+func (p *planner) hold(kind string) time.Duration {
+	return time.Duration(p.holds[kind] * float64(time.Second))
+}
+
+// sample learns from a request that held a slot.
+func (p *planner) sample(kind string, held time.Duration) {
+	s := held.Seconds()
+	mean, ok := p.holds[kind]
+	if !ok {
+		if len(p.holds) >= maxKinds {
+			return
+		}
+		mean = s
+	}
+	p.holds[kind] = mean + holdWeight*(s-mean)
+}
+
+// offer counts an arrival.
+func (p *planner) offer(c classifier.Class, kind string) { p.work[c] += p.holds[kind] }
+
+// endWindow computes the level. waiting is the slot time of the queued requests.
+func (p *planner) endWindow(now time.Duration, limit int, waiting time.Duration) {
+	passed := now - p.last
+	p.last = now
+	if passed <= 0 {
+		return
+	}
+	for c := range p.demand {
+		if part := passing(classifier.Class(c), p.adopted); part >= minPassing {
+			sample := p.work[c] / passed.Seconds() / part
+			p.demand[c] += blend(passed, demandTime) * (sample - p.demand[c])
+		}
+		p.work[c] = 0
+	}
+	p.level = p.plan(plannedShare*float64(limit) - waiting.Seconds()/drainTime.Seconds())
+	p.adopted += blend(passed, adoptTime) * (float64(p.level) - p.adopted)
+}
+
+// plan returns the lowest level whose requests fit into the room.
+func (p *planner) plan(room float64) uint32 {
+	for c := len(p.demand) - 1; c >= 0; c-- {
+		if p.demand[c] <= room {
+			room -= p.demand[c]
+			continue
+		}
+		refused := 1 - max(room, 0)/p.demand[c]
+		level := uint32(c)*levelsPerClass + uint32(math.Ceil(refused*levelsPerClass))
+		return min(level, numLevels-1)
+	}
+	return 0
+}
+
+// passing is the part of a class that a level lets pass.
+func passing(c classifier.Class, level float64) float64 {
+	above := float64(c+1)*levelsPerClass - level
+	return min(max(above/levelsPerClass, 0), 1)
+}
+
+// blend is the weight of a sample over the time in an exponential average.
+func blend(over, constant time.Duration) float64 {
+	return 1 - math.Exp(-float64(over)/float64(constant))
+}
--- a/core/admitter/queue.go
+++ b/core/admitter/queue.go
@@ -12,12 +12,16 @@
 
 type entry struct {
 	Request
-	arrived  time.Duration
+	arrived time.Duration
+	// latest is the time after which waiting is useless, or 0 for none.
+	latest time.Duration
+	// hold is the time that the request is expected to hold a slot.
+	hold     time.Duration
 	priority uint32
 }
 
 func (e entry) expired(now, queueTime time.Duration) bool {
-	return now-e.arrived >= queueTime || e.Deadline > 0 && now >= e.Deadline
+	return now-e.arrived >= queueTime || e.latest > 0 && now >= e.latest
 }
 
 // queue holds the waiting requests by class and depth. A deep call comes before
@@ -28,6 +32,8 @@
 	// len and perClass count the entries of all buckets and of each class.
 	len      int
 	perClass [classifier.NumClasses]int
+	// work is the slot time that the entries of each class are expected to take.
+	work [classifier.NumClasses]time.Duration
 	// over holds, for each class, for how long the oldest request has been over
 	// the target in every observation.
 	over [classifier.NumClasses]span
@@ -60,6 +66,16 @@
 	b := &q.buckets[e.Class][min(e.Depth, maxDepth)]
 	*b = append(*b, e)
 	q.count(e.Class, 1)
+	q.work[e.Class] += e.hold
+}
+
+// totalWork is the slot time that all entries are expected to take.
+func (q *queue) totalWork() time.Duration {
+	total := time.Duration(0)
+	for _, w := range q.work {
+		total += w
+	}
+	return total
 }
 
 func (q *queue) count(c classifier.Class, n int) {
@@ -112,6 +128,7 @@
 	} else {
 		e, *b = (*b)[0], (*b)[1:]
 	}
+	q.work[e.Class] -= e.hold
 	return e
 }
 
@@ -144,6 +161,7 @@
 	}
 	for _, e := range taken {
 		q.count(e.Class, -1)
+		q.work[e.Class] -= e.hold
 	}
 	return taken
 }
--- a/core/resolver/attempt.go
+++ b/core/resolver/attempt.go
@@ -206,7 +206,7 @@
 	switch r {
 	case ReasonDeadlineExceeded, ReasonCancelled, ReasonTicketRequired, ReasonTicketExpired,
 		ReasonTicketForeign, ReasonUnknownService, ReasonUnknownKind, ReasonBadRequest,
-		ReasonBodyTooLarge, ReasonNoUpstream:
+		ReasonBodyTooLarge, ReasonNoUpstream, ReasonNoRetryLeft:
 		return true
 	default:
 		return false
--- a/core/resolver/reason.go
+++ b/core/resolver/reason.go
@@ -64,6 +64,8 @@
 	ReasonNotReady
 	// ReasonInstanceReplaced: another instance has the address of the upstream.
 	ReasonInstanceReplaced
+	// ReasonNoRetryLeft: the service's retries of the present window are used up.
+	ReasonNoRetryLeft
 )
 
 // BeforeBackend tells whether a refusal for the reason shows that the attempt
--- a/crocusctl/internal/commander/advice.go
+++ b/crocusctl/internal/commander/advice.go
@@ -84,6 +84,8 @@
 		"The node has no release in force yet.", "See the runbook for a platform outage if it lasts longer than a few seconds."},
 	resolver.ReasonInstanceReplaced: {"", notRun, "503",
 		"Another backend server has the address of the upstream.", "Nothing; the next list of members corrects it."},
+	resolver.ReasonNoRetryLeft: {"", notRun, "503",
+		"An earlier try was refused or lost, and the service's retries of the present window are used up.", "Look for the backend servers that refuse or lose requests."},
 }
 
 // AdviceFor returns the text for a reason. A reason of a newer node has only
--- a/crocusd/internal/composer/follow.go
+++ b/crocusd/internal/composer/follow.go
@@ -132,21 +132,35 @@
 		return
 	}
 	n.log.Info("view in force", "Config", v.Config.Version, "Members", len(v.Members), "Revision", revision)
-	nodes := max(len(v.Members), 1)
+	own := max(n.gates(v), 1)
 	services := make(map[string]releaser.Service, len(v.Config.Services))
 	for name := range v.Config.Services {
-		services[name] = releaser.Service{Name: name, RetryRatio: n.bounds.Load().RetryRatio * retryShare}
+		services[name] = releaser.Service{Name: name, RetryRatio: n.bounds.Load().RetryRatio}
 		n.router.SetUpstreams(now, name, n.upstreams(v, name))
 	}
-	n.forward.SetRetryBurst(n.bounds.Load().RetrySlack * retryShare / float64(nodes))
+	b := n.bounds.Load()
+	n.forward.SetRetryBurst(b.RetrySlack)
 	n.forward.SetServices(services)
+	n.handler.LimitRepeats(b.RetryRatio*retryShare, b.RetrySlack/float64(own), b.RetryWindow)
 	n.setSlots(v)
 	n.dispatch.SetConfig(v.Config)
 }
 
-// retryShare is the part of the agreed retries that nodes spend themselves.
-// The rest is left for the calls of repeated runs, which count as repeats too.
-const retryShare = 0.5
+// retryShare is the part of the agreed retry ratio that gates count on: clients
+// may be refused before they reach a gate, and gates don't see each other.
+const retryShare = 0.9
+
+// gates is the number of members of the service of the backend server next door.
+func (n *Node) gates(v observer.View) int {
+	own := *n.service.Load()
+	count := 0
+	for _, m := range v.Members {
+		if m.Service == own {
+			count++
+		}
+	}
+	return count
+}
 
 // upstreams returns the members of a service that take work, one for each
 // machine: where two runs name the same address, the later one has it.
--- a/crocusd/internal/dispatcher/dispatcher.go
+++ b/crocusd/internal/dispatcher/dispatcher.go
@@ -162,6 +162,7 @@
 	}
 	run := tied.Run
 	q.Parent, q.Class, q.TreeID, q.Depth, q.Pool = run.Kind, run.Class, run.TreeID, run.Depth+1, run.Pool
+	q.RepeatedTree = run.Repeated
 	if run.Deadline.Before(q.Deadline) {
 		q.Deadline = run.Deadline
 	}
--- a/crocusd/internal/forwarder/request.go
+++ b/crocusd/internal/forwarder/request.go
@@ -45,6 +45,8 @@
 	Repeat bool
 	// First says that the caller stated that it never sent the request before.
 	First bool
+	// RepeatedTree says that the request belongs to a run that is a repeat.
+	RepeatedTree bool
 	// Outbound is true for a call of the node's own backend server.
 	Outbound bool
 	// Parent is the kind of the inbound request of an outbound call, or "".
--- a/crocusd/internal/forwarder/try.go
+++ b/crocusd/internal/forwarder/try.go
@@ -89,6 +89,7 @@
 		res.Failed = e.Status >= 500
 	case resolver.AnswerNotRun:
 		res.Refused = true
+		res.Failed = e.Reason == resolver.ReasonBackendRefused || e.Reason == resolver.ReasonBackendUnreachable
 	default:
 		res.Failed = true
 	}
@@ -132,6 +133,8 @@
 		RequestId:       q.ID,
 		Host:            q.Host,
 		Instance:        t.upstream.Instance,
+		Again:           t.loop.reached() > 0,
+		RepeatedTree:    q.RepeatedTree,
 	}
 	if q.Ticket != nil {
 		t.run.Ticket = q.Ticket.Message()
@@ -203,8 +206,8 @@
 	return may
 }
 
-// reached is the number of tries, the present one included, that a backend
-// server may have seen.
+// reached is the number of tries sent so far that a backend server may have
+// seen.
 func (p *loop) reached() int { return p.result.Tries - p.moves }
 
 // takeRetry takes the units for another try and reports whether there were any.
--- a/crocusd/internal/handler/execute.go
+++ b/crocusd/internal/handler/execute.go
@@ -36,7 +36,7 @@
 		}()
 	}
 	start := h.clock.Now()
-	r := h.backend.Do(ctx, connector.Call{
+	r := h.send(ctx, m, connector.Call{
 		RequestID: run.RequestID, Instance: m.GetInstance(), Method: m.GetMethod(), Host: m.GetHost(), Path: m.GetPath(),
 		Headers: m.GetHeaders(), Body: body, Parent: run.Token, Trace: run.TraceID,
 	})
@@ -87,6 +87,7 @@
 	return &tracer.Run{
 		Token: token, TraceID: traceID, RequestID: m.GetRequestId(), Kind: m.GetKind(), Class: classOf(m),
 		TreeID: m.GetTreeId(), Depth: m.GetDepth(), Deadline: deadlineOf(ctx), Pool: budgeter.NewPool(m.GetAllowance()),
+		Repeated: m.GetAgain() || m.GetRepeatedTree(),
 	}
 }
 
--- a/crocusd/internal/handler/handler.go
+++ b/crocusd/internal/handler/handler.go
@@ -54,6 +54,10 @@
 	// when the try is finished or withdrawn.
 	finished map[gatekeeper.AttemptID]chan struct{}
 
+	// repeats is nil while no bound is set.
+	repeats   atomic.Pointer[repeats]
+	repeatsMu sync.Mutex
+
 	draining atomic.Bool
 	active   atomic.Int64
 }
--- a/crocusd/internal/tracer/registry.go
+++ b/crocusd/internal/tracer/registry.go
@@ -25,6 +25,8 @@
 	Deadline time.Time
 	// Pool holds the retries that the request may still hand down.
 	Pool *budgeter.Pool
+	// Repeated is true when the request, or one above it, was sent before.
+	Repeated bool
 }
 
 // Tie is the result of a look-up: Tied, Ambiguous or Untied.
