--- /dev/null
+++ b/core/admitter/tree_test.go
@@ -0,0 +1,181 @@
+package admitter
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"crocustack/core/classifier"
+)
+
+// treeStream is a Poisson stream of requests that each make calls one after the
+// other to the simulated service, as the last hop of a deep tree.
+type treeStream struct {
+	class classifier.Class
+	calls int
+	rate  float64 // Trees per second.
+
+	offered, refused, good, failed int // Since the end of the warm-up.
+}
+
+// tree is one admitted tree.
+type tree struct {
+	stream *treeStream
+	id     uint64
+	left   int // Calls that are not answered yet.
+}
+
+// event is something that happens to a tree at a time.
+type event struct {
+	tree *tree
+	call uint64
+	held time.Duration
+}
+
+// treeSim is a simulation of one gate behind senders that learn its level late.
+type treeSim struct {
+	a        *Admitter
+	rng      *rand.Rand
+	work     time.Duration
+	lag      time.Duration // Until the level reaches the senders.
+	budget   time.Duration // For one call.
+	levels   map[time.Duration]uint32
+	done     map[time.Duration][]event
+	waiting  map[uint64]*tree
+	nextCall uint64
+	measure  bool
+}
+
+func (s *treeSim) decide(now time.Duration, ds []Decision) {
+	for _, d := range ds {
+		switch d := d.(type) {
+		case Admit:
+			held := time.Duration((0.5 + s.rng.Float64()) * float64(s.work))
+			at := (now + held).Truncate(simStep) + simStep
+			s.done[at] = append(s.done[at], event{s.waiting[d.ID], d.ID, held})
+			delete(s.waiting, d.ID)
+		case Shed:
+			t := s.waiting[d.ID]
+			delete(s.waiting, d.ID)
+			if s.measure {
+				t.stream.failed++
+			}
+		case Queue:
+		}
+	}
+}
+
+func (s *treeSim) call(now time.Duration, t *tree) {
+	s.nextCall++
+	s.waiting[s.nextCall] = t
+	s.decide(now, s.a.Offer(now, Request{
+		ID: s.nextCall, Class: t.stream.class, Kind: "call", Depth: 3, TreeID: t.id, Deadline: now + s.budget,
+	}))
+}
+
+func (s *treeSim) run(warmUp, end time.Duration, streams []*treeStream) {
+	var id uint64
+	for now := time.Duration(0); now < end; now += simStep {
+		if now == warmUp {
+			s.measure = true
+		}
+		for _, e := range s.done[now] {
+			s.decide(now, s.a.Release(now, e.call, Result{Latency: e.held}))
+			if e.tree.left--; e.tree.left > 0 {
+				s.call(now, e.tree)
+			} else if s.measure {
+				e.tree.stream.good++
+			}
+		}
+		delete(s.done, now)
+		for _, st := range streams {
+			for range poisson(s.rng, st.rate*simStep.Seconds()) {
+				id++
+				if s.measure {
+					st.offered++
+				}
+				if Priority(st.class, id) < s.levels[(now-s.lag).Truncate(window)] {
+					if s.measure {
+						st.refused++
+					}
+					continue
+				}
+				s.call(now, &tree{stream: st, id: id, left: st.calls})
+			}
+		}
+		if now%(10*time.Millisecond) == 0 {
+			s.decide(now, s.a.Tick(now))
+		}
+		s.levels[now.Truncate(window)] = s.a.Load().Level
+	}
+}
+
+// Pattern: many trees whose calls meet in one deep service that is offered 1.6
+// times what it can do, and whose level the senders learn 300 ms late. Guards
+// against trees that are admitted and then fail at a late call, against idle
+// slots, and against important trees refused before others.
+func TestTreesMeetInDeepService(t *testing.T) {
+	const slots, work = 41, 40 * time.Millisecond
+	capacity := slots / work.Seconds() // Calls a second.
+	top := &treeStream{class: classifier.ClassCritical, calls: 5, rate: 0.3 * capacity / 5}
+	rest := &treeStream{class: classifier.ClassBrowse, calls: 10, rate: 1.3 * capacity / 10}
+	s := &treeSim{
+		a: New(Config{Slots: slots, Stated: true}), rng: rand.New(rand.NewPCG(1, 2)), work: work,
+		lag: 300 * time.Millisecond, budget: 700 * time.Millisecond,
+		levels: map[time.Duration]uint32{}, done: map[time.Duration][]event{}, waiting: map[uint64]*tree{},
+	}
+	s.run(4*time.Second, 24*time.Second, []*treeStream{top, rest})
+	used := float64(top.good*top.calls+rest.good*rest.calls) / 20 / capacity
+	t.Logf("slots used by whole trees: %.2f; top %+v, rest %+v", used, *top, *rest)
+	if used < 0.8 {
+		t.Errorf("whole trees use %.2f of the capacity, want at least 0.8", used)
+	}
+	if share := float64(top.good) / float64(top.offered); share < 0.99 {
+		t.Errorf("top class: %.3f whole, want at least 0.99", share)
+	}
+	if share := float64(rest.failed) / float64(rest.good+rest.failed); share > 0.05 {
+		t.Errorf("%.3f of the admitted trees failed, want at most 0.05", share)
+	}
+}
+
+// Pattern: the load fits. Guards against refusals without need, of which the
+// limiter by trial had 4 to 8% at this load.
+func TestNothingRefusedThatFits(t *testing.T) {
+	const slots, work = 25, 22 * time.Millisecond
+	capacity := slots / work.Seconds()
+	rest := &treeStream{class: classifier.ClassBrowse, calls: 4, rate: 0.75 * capacity / 4}
+	s := &treeSim{
+		a: New(Config{Slots: slots, Stated: true}), rng: rand.New(rand.NewPCG(3, 4)), work: work,
+		lag: 300 * time.Millisecond, budget: 700 * time.Millisecond,
+		levels: map[time.Duration]uint32{}, done: map[time.Duration][]event{}, waiting: map[uint64]*tree{},
+	}
+	s.run(2*time.Second, 12*time.Second, []*treeStream{rest})
+	if lost := float64(rest.refused+rest.failed) / float64(rest.offered); lost > 0.01 {
+		t.Errorf("%.3f of the trees were refused or failed, want at most 0.01: %+v", lost, *rest)
+	}
+}
+
+// Pattern: a queue that can't be served in time. Guards against requests that
+// wait although they can't be answered before their deadline any more: they are
+// refused at once.
+func TestHopelessRequestRefusedAtOnce(t *testing.T) {
+	a := New(Config{Slots: 1, Stated: true})
+	now := time.Duration(0)
+	for id := range uint64(50) { // Teaches that the kind holds a slot for 100 ms.
+		a.Offer(now, Request{ID: id + 1, Kind: "k"})
+		now += 100 * time.Millisecond
+		a.Release(now, id+1, Result{Latency: 100 * time.Millisecond})
+	}
+	refused := 0
+	for id := range uint64(10) {
+		for _, d := range a.Offer(now, Request{ID: 100 + id, Kind: "k", Depth: 1, Deadline: now + 450*time.Millisecond}) {
+			if _, ok := d.(Shed); ok {
+				refused++
+			}
+		}
+	}
+	// One runs, and three more can start within 350 ms.
+	if refused < 5 {
+		t.Errorf("%d of 10 requests refused at once, want at least 5", refused)
+	}
+}
--- a/core/budgeter/window.go
+++ b/core/budgeter/window.go
@@ -5,9 +5,9 @@
 const (
 	// windowSteps is the number of steps that a window is counted in.
 	windowSteps = 20
-	// windowMargin is the part of the allowed repeats that is used: the edges of
-	// the steps and the clocks of the nodes don't coincide.
-	windowMargin = 0.85
+	// ringSteps is the number of steps that are remembered: a window that ends
+	// now, and the one before a window that ends now.
+	ringSteps = 3 * windowSteps
 )
 
 // Window bounds the repeats of requests to one service in every sliding window
@@ -21,8 +21,8 @@
 	step         time.Duration
 	// current is the number of the present step since time 0.
 	current int64
-	// firsts and repeats count the last 2 × windowSteps steps, in a ring.
-	firsts, repeats [2 * windowSteps]int
+	// firsts and repeats count the last ringSteps steps, in a ring.
+	firsts, repeats [ringSteps]int
 }
 
 // NewWindow returns a window without history.
@@ -36,57 +36,61 @@
 // First counts the first try of a request.
 func (w *Window) First(now time.Duration) {
 	w.advance(now)
-	w.firsts[w.current%int64(len(w.firsts))]++
+	w.firsts[w.index(0)]++
 }
 
 // Repeat counts a repeat that can't be avoided any more.
 func (w *Window) Repeat(now time.Duration) {
 	w.advance(now)
-	w.repeats[w.current%int64(len(w.repeats))]++
+	w.repeats[w.index(0)]++
 }
 
 // Try counts a repeat and returns true, or returns false when less than the
 // part reserve of the allowed repeats is left for more important ones.
 func (w *Window) Try(now time.Duration, reserve float64) bool {
 	w.advance(now)
-	used := sum(w.repeats[:], w.current, 0)
-	if float64(used+1) > w.allowed()*(1-reserve) {
-		return false
+	// Every window that the repeat falls into is checked, the oldest one a step
+	// early, since windows don't begin with a step.
+	used := 0
+	for back := range windowSteps + 1 {
+		used += w.repeats[w.index(back)]
+		if float64(used+1) > (w.share*float64(w.requests(back))+w.slack)*(1-reserve) {
+			return false
+		}
 	}
-	w.repeats[w.current%int64(len(w.repeats))]++
+	w.repeats[w.index(0)]++
 	return true
 }
 
-// allowed is the number of repeats that the window may hold. It follows the
-// most requests of this window, the one before and the one half a window before.
-func (w *Window) allowed() float64 {
-	most := max(
-		sum(w.firsts[:], w.current, 0),
-		sum(w.firsts[:], w.current, windowSteps/2),
-		sum(w.firsts[:], w.current, windowSteps),
-	)
-	return windowMargin * (w.share*float64(most) + w.slack)
-}
-
-// sum adds up the windowSteps steps that end offset steps ago.
-func sum(ring []int, current int64, offset int) int {
-	total := 0
-	for i := range windowSteps {
-		n := current - int64(offset+i)
-		if n < 0 {
-			break
+// requests is the number of requests that bounds the repeats of the window that
+// begins so many steps ago: the most of that window, the one before and the one
+// half a window before. The first and the last step of each may lie partly
+// outside, so one is left out.
+func (w *Window) requests(back int) int {
+	most := 0
+	for _, earlier := range []int{0, windowSteps / 2, windowSteps} {
+		n := 0
+		for i := 1; i < windowSteps; i++ {
+			if at := back + earlier - i; at >= 0 && at < ringSteps {
+				n += w.firsts[w.index(at)]
+			}
 		}
-		total += ring[n%int64(len(ring))]
+		most = max(most, n)
 	}
-	return total
+	return most
+}
+
+// index is the place in the ring of the step so many steps ago.
+func (w *Window) index(back int) int64 {
+	return (w.current - int64(back) + ringSteps) % ringSteps
 }
 
 func (w *Window) advance(now time.Duration) {
 	to := int64(now / w.step)
-	for range min(to-w.current, int64(len(w.firsts))) {
+	for range min(to-w.current, ringSteps) {
 		w.current++
-		w.firsts[w.current%int64(len(w.firsts))] = 0
-		w.repeats[w.current%int64(len(w.repeats))] = 0
+		w.firsts[w.index(0)] = 0
+		w.repeats[w.index(0)] = 0
 	}
 	w.current = max(w.current, to)
 }
--- /dev/null
+++ b/core/budgeter/window_test.go
@@ -0,0 +1,77 @@
+package budgeter
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// Guards against repeats beyond the bound in any sliding window, whatever the
+// schedule: the bound follows the most requests of the window, of the one
+// before and of the one half a window before.
+func TestWindowBoundsEverySlidingWindow(t *testing.T) {
+	const share, slack, length = 0.2, 5.0, 10 * time.Second
+	rapid.Check(t, func(t *rapid.T) {
+		w := NewWindow(share, slack, length)
+		var firsts, repeats []time.Duration
+		now := time.Duration(0)
+		for range rapid.IntRange(1, 300).Draw(t, "events") {
+			now += time.Duration(rapid.IntRange(0, 400).Draw(t, "later")) * time.Millisecond
+			if rapid.IntRange(0, 2).Draw(t, "kind") == 0 {
+				w.First(now)
+				firsts = append(firsts, now)
+			} else if w.Try(now, 0) {
+				repeats = append(repeats, now)
+			}
+		}
+		count := func(at []time.Duration, from time.Duration) int {
+			n := 0
+			for _, x := range at {
+				if x >= from && x < from+length {
+					n++
+				}
+			}
+			return n
+		}
+		for _, from := range repeats {
+			most := max(count(firsts, from), count(firsts, from-length/2), count(firsts, from-length))
+			if n := count(repeats, from); float64(n) > share*float64(most)+slack {
+				t.Fatalf("%d repeats in the window from %v with %d requests", n, from, most)
+			}
+		}
+	})
+}
+
+// Guards against repeats for unimportant requests that leave none for others.
+func TestWindowReserve(t *testing.T) {
+	w := NewWindow(0.2, 0, 10*time.Second)
+	for range 1000 {
+		w.First(5 * time.Second)
+	}
+	low, all := 0, 0
+	for w.Try(6*time.Second, 0.85) {
+		low++
+	}
+	for all = low; w.Try(6*time.Second, 0); {
+		all++
+	}
+	if low == 0 || low > 30 || all != 200 {
+		t.Errorf("%d repeats with a reserve, %d in all, want 1 to 30, and 200", low, all)
+	}
+}
+
+// Guards against a bound that forgets the load before an outage: repeats are
+// needed when requests have become few.
+func TestWindowFollowsEarlierLoad(t *testing.T) {
+	w := NewWindow(0.2, 0, 10*time.Second)
+	for i := range 100 {
+		w.First(time.Duration(i) * 100 * time.Millisecond)
+	}
+	if !w.Try(15*time.Second, 0) {
+		t.Error("no repeat half a window after the requests ended")
+	}
+	if w.Try(45*time.Second, 0) {
+		t.Error("a repeat long after the requests ended")
+	}
+}
--- /dev/null
+++ b/core/router/avoid_test.go
@@ -0,0 +1,94 @@
+package router
+
+import (
+	"testing"
+	"time"
+
+	"crocustack/core/resolver"
+)
+
+// picks counts how often each upstream is chosen.
+func picks(r *Router, now time.Duration, n int, exclude ...string) map[string]int {
+	got := make(map[string]int)
+	for i := range uint64(n) {
+		switch d := r.Pick(now, "s", exclude, i*0x9e3779b97f4a7c15).(type) {
+		case Chosen:
+			got[d.Upstream.Address]++
+		case None:
+			got[d.Reason.String()]++
+		}
+	}
+	return got
+}
+
+func pair(cfg Config) *Router {
+	r := New(cfg, "d", "r", 1)
+	r.SetUpstreams(0, "s", []Upstream{
+		{Service: "s", Address: "a", Domain: "d", Region: "r", Instance: "i-a"},
+		{Service: "s", Address: "b", Domain: "d", Region: "r", Instance: "i-b"},
+	})
+	return r
+}
+
+// Pattern: a node was killed and nothing listens at its address. Guards against
+// requests that each wait for a connection which can't be opened, and against
+// an upstream that is never tried again.
+func TestUnreachableAvoided(t *testing.T) {
+	r := pair(Config{})
+	r.MarkUnreachable(time.Second, "a")
+	if got := picks(r, time.Second, 50); got["a"] != 0 {
+		t.Errorf("chosen right after the failure: %v", got)
+	}
+	if got := picks(r, time.Second, 50, "b"); got["a"] != 50 {
+		t.Errorf("not chosen as the only upstream left: %v", got)
+	}
+	if got := picks(r, time.Second+minAvoid, 50); got["a"] == 0 {
+		t.Errorf("not tried again after %v: %v", minAvoid, got)
+	}
+	r.MarkUnreachable(2*time.Second, "a")
+	if got := picks(r, 2*time.Second+minAvoid, 50); got["a"] != 0 {
+		t.Errorf("tried again too soon after the second failure: %v", got)
+	}
+	r.Start(3*time.Second, "s", "a")
+	r.Finish(3*time.Second, "s", "a", Result{Latency: time.Millisecond})
+	r.MarkUnreachable(4*time.Second, "a")
+	if got := picks(r, 4*time.Second+minAvoid, 50); got["a"] == 0 {
+		t.Errorf("an answer didn't end the row of failures: %v", got)
+	}
+}
+
+// Pattern: all nodes of a service are restarted one after the other, faster
+// than each is back. Guards against requests that are refused although leaving
+// nodes still take them.
+func TestLastResort(t *testing.T) {
+	r := pair(Config{LastResort: true})
+	r.MarkLeaving(time.Second, "a")
+	if got := picks(r, time.Second, 50); got["a"] != 0 || got["b"] != 50 {
+		t.Errorf("a leaving upstream is chosen beside another one: %v", got)
+	}
+	r.MarkLeaving(time.Second, "b")
+	if got := picks(r, time.Second, 50); got["a"]+got["b"] != 50 {
+		t.Errorf("no upstream although all may still take work: %v", got)
+	}
+	strict := pair(Config{})
+	strict.MarkLeaving(time.Second, "a")
+	strict.MarkLeaving(time.Second, "b")
+	if got := picks(strict, time.Second, 5); got[resolver.ReasonNoUpstream.String()] != 5 {
+		t.Errorf("leaving upstreams are chosen: %v", got)
+	}
+}
+
+// Guards against a slow start of a warm backend server whose node restarted, and
+// against a full load for a new one under the same address.
+func TestSlowStartFollowsInstance(t *testing.T) {
+	r := pair(Config{SlowStart: 3 * time.Second})
+	r.MarkLeaving(10*time.Second, "a")
+	r.ClearLeaving(11*time.Second, "a")
+	if w := r.services["s"].known["a"].weight(11*time.Second, 3*time.Second); w != 1 {
+		t.Errorf("weight %v after the node restarted, want 1", w)
+	}
+	r.SetUpstreams(12*time.Second, "s", []Upstream{{Service: "s", Address: "a", Domain: "d", Region: "r", Instance: "i-new"}})
+	if w := r.services["s"].known["a"].weight(12*time.Second, 3*time.Second); w != minRamp {
+		t.Errorf("weight %v of a new instance, want %v", w, minRamp)
+	}
+}
--- a/core/router/decision.go
+++ b/core/router/decision.go
@@ -25,6 +25,8 @@
 	WhyNoLocal
 	// WhyHome: the upstream is the home of the key.
 	WhyHome
+	// WhyLastResort: all upstreams are leaving; this one may still take work.
+	WhyLastResort
 )
 
 // Decision is where an attempt goes: Chosen or None.
--- a/core/router/router.go
+++ b/core/router/router.go
@@ -28,6 +28,9 @@
 	// twice the default bound of a drain. The address may then belong to a new
 	// instance.
 	LeavingTime time.Duration
+	// LastResort lets a leaving upstream be chosen when there is no other one.
+	// It may still take requests.
+	LastResort bool
 }
 
 func (c Config) withDefaults() Config {
@@ -53,6 +56,8 @@
 	// domains that were not leaving when it was built. Together they have at
 	// most SubsetSize entries.
 	local, remote []*stats
+	// leaving holds the upstreams that are avoided because they are leaving.
+	leaving []*stats
 	// rebuildAt is when the next leaving upstream may be used again, or 0.
 	rebuildAt time.Duration
 	// typical is the mean latency over all upstreams in seconds.
@@ -104,10 +109,15 @@
 			st.rampFrom = now - r.cfg.SlowStart
 		} else if old, ok := before.known[u.Address]; ok {
 			st = old
+			if old.Instance != u.Instance {
+				st.rampFrom = now
+			}
 		}
 		st.Upstream = u
 		st.leavingUntil = r.leaving[u.Address]
-		st.rampFrom = max(st.rampFrom, st.leavingUntil)
+		if st.Instance == "" {
+			st.rampFrom = max(st.rampFrom, st.leavingUntil)
+		}
 		s.known[u.Address] = st
 	}
 	r.services[name] = s
@@ -144,7 +154,10 @@
 	for _, s := range r.services {
 		if st, ok := s.known[address]; ok {
 			st.leavingUntil = until
-			st.rampFrom = until
+			if st.Instance == "" {
+				// The backend server may have been replaced with its node.
+				st.rampFrom = until
+			}
 			r.rebuild(now, s)
 		}
 	}
@@ -153,10 +166,11 @@
 // rebuild chooses the subset. Rendezvous hashing changes as few members as
 // possible when the list changes.
 func (r *Router) rebuild(now time.Duration, s *service) {
-	s.local, s.remote, s.rebuildAt = nil, nil, 0
+	s.local, s.remote, s.leaving, s.rebuildAt = nil, nil, nil, 0
 	for _, st := range s.known {
 		switch {
 		case st.leaving(now):
+			s.leaving = append(s.leaving, st)
 			if s.rebuildAt == 0 || st.leavingUntil < s.rebuildAt {
 				s.rebuildAt = st.leavingUntil
 			}
@@ -201,7 +215,7 @@
 	remote, remoteScore := r.choose(now, s, s.remote, exclude, draw)
 	switch {
 	case local == nil && remote == nil:
-		return None{resolver.ReasonNoUpstream}
+		return r.lastResort(now, s, exclude, draw)
 	case local == nil:
 		return Chosen{remote.Upstream, WhyNoLocal, remoteScore}
 	case remote != nil && r.best(now, s, s.local, exclude) > r.cfg.SpillFactor*remoteScore:
@@ -211,6 +225,18 @@
 	}
 }
 
+// lastResort chooses among the leaving upstreams.
+func (r *Router) lastResort(now time.Duration, s *service, exclude []string, draw uint64) Decision {
+	if !r.cfg.LastResort {
+		return None{resolver.ReasonNoUpstream}
+	}
+	st, score := r.choose(now, s, s.leaving, exclude, draw)
+	if st == nil {
+		return None{resolver.ReasonNoUpstream}
+	}
+	return Chosen{st.Upstream, WhyLastResort, score}
+}
+
 // withUnreachable adds the upstreams that can't be connected to at present,
 // unless nothing else would be left.
 func withUnreachable(now time.Duration, s *service, exclude []string) []string {
--- a/core/router/why_string.go
+++ b/core/router/why_string.go
@@ -12,11 +12,12 @@
 	_ = x[WhySpill-1]
 	_ = x[WhyNoLocal-2]
 	_ = x[WhyHome-3]
+	_ = x[WhyLastResort-4]
 }
 
-const _Why_name = "LocalSpillNoLocalHome"
+const _Why_name = "LocalSpillNoLocalHomeLastResort"
 
-var _Why_index = [...]uint8{0, 5, 10, 17, 21}
+var _Why_index = [...]uint8{0, 5, 10, 17, 21, 31}
 
 func (i Why) String() string {
 	idx := int(i) - 0
--- a/crocusd/internal/commander/reloader.go
+++ b/crocusd/internal/commander/reloader.go
@@ -27,10 +27,11 @@
 	return &reloader{file: file, node: n, last: b}
 }
 
+// run reloads until ctx ends. SIGHUP stays caught after that: its default action
+// would end a process that is still finishing requests.
 func (r *reloader) run(ctx context.Context) {
 	hup := make(chan os.Signal, 1)
 	signal.Notify(hup, syscall.SIGHUP)
-	defer signal.Stop(hup)
 	ticker := time.NewTicker(reloadInterval)
 	defer ticker.Stop()
 	for {
--- a/crocusd/internal/composer/composer.go
+++ b/crocusd/internal/composer/composer.go
@@ -84,6 +84,8 @@
 	dispatch *dispatcher.Dispatcher
 	backend  *platform.Backend
 	store    *platform.Store
+	// leaving is true once the process was asked to end.
+	leaving atomic.Bool
 	// service is the service of the backend server next door.
 	service atomic.Pointer[string]
 	// regions holds the region of each failure domain that the settings name.
@@ -126,7 +128,7 @@
 	n.rec = rec
 	levels := admitter.NewLevels()
 	runs, calls := tracer.NewRegistry(), tracer.NewCalls()
-	n.router = router.New(router.Config{SlowStart: slowStart, LeavingTime: leavingTime}, n.cfg.Node.Domain, n.cfg.Node.Region, n.self.BootID)
+	n.router = router.New(router.Config{SlowStart: slowStart, LeavingTime: leavingTime, LastResort: true}, n.cfg.Node.Domain, n.cfg.Node.Region, n.self.BootID)
 	n.links = linker.New(linker.Config{
 		DialTimeout: linkDialTimeout, SilentAfter: n.cfg.Timing.SilentAfter, AbandonAfter: n.cfg.Timing.AbandonAfter, Idle: n.cfg.Timing.LinkIdle,
 	}, n.log, n)
@@ -214,8 +216,9 @@
 	ctx, cancel := context.WithTimeout(context.Background(), n.bounds.Load().Grace-stopMargin)
 	defer cancel()
 	n.dispatch.Leave()
-	n.leave()
+	n.announce()
 	sleep(ctx, noticeTime)
+	n.handler.Leave()
 	for ctx.Err() == nil && (n.handler.Active() > 0 || n.dispatch.Active() > 0) {
 		sleep(ctx, stopPoll)
 	}
@@ -225,9 +228,10 @@
 	n.log.Info("drain ended", "Active", n.handler.Active())
 }
 
-// leave refuses new work for the backend server and tells all peers.
-func (n *Node) leave() {
-	n.handler.Leave()
+// announce tells all peers that this node is leaving. They send requests to
+// others from then on, and to this one only when there is no other.
+func (n *Node) announce() {
+	n.leaving.Store(true)
 	for _, l := range n.links.Links() {
 		_ = l.SendControl(&encoder.Control{Message: &encoder.Control_Leaving{Leaving: &encoder.Leaving{}}})
 	}
--- a/crocusd/internal/composer/peers.go
+++ b/crocusd/internal/composer/peers.go
@@ -10,7 +10,7 @@
 func (n *Node) Hello() *encoder.Hello {
 	return &encoder.Hello{
 		Incarnation: handler.IncarnationMessage(n.self), Domain: n.cfg.Node.Domain, Region: n.cfg.Node.Region,
-		Draining: n.handler.Draining(),
+		Draining: n.leaving.Load(),
 	}
 }
 
@@ -23,8 +23,13 @@
 	n.router.ClearLeaving(n.clock.Now(), l.Address())
 }
 
-// Closed implements linker.Handler.
+// Closed implements linker.Handler. The peer's process may be starting again, so
+// the next connection decides whether it can be used.
 func (n *Node) Closed(l *linker.Link, err error) {
+	if n.links.Lookup(l.Address()) == nil {
+		n.router.MarkUnreachable(n.clock.Now(), l.Address())
+		n.router.ClearLeaving(n.clock.Now(), l.Address())
+	}
 	n.log.Info("link closed", "Peer", l.Address(), "Error", err.Error())
 }
 
--- a/crocusd/internal/handler/repeat.go
+++ b/crocusd/internal/handler/repeat.go
@@ -17,10 +17,19 @@
 // backend server refused although it had room.
 const maxResends = 3
 
-// reserves holds the part of the allowed repeats that a class leaves to more
-// important ones.
+// reserves holds the part of the allowed repeats that calls of a class leave to
+// others. A call is one of several that its tree needs, so a repeat of it is
+// worth less than that of a request without calls above it.
 var reserves = [classifier.NumClasses]float64{
-	classifier.ClassBulk: 0.7, classifier.ClassBrowse: 0.6, classifier.ClassStandard: 0.3, classifier.ClassCritical: 0,
+	classifier.ClassBulk: 0.95, classifier.ClassBrowse: 0.85, classifier.ClassStandard: 0.4, classifier.ClassCritical: 0.25,
+}
+
+// reserve is the part of the allowed repeats that a request leaves to others.
+func reserve(m *encoder.Run) float64 {
+	if m.GetDepth() == 0 {
+		return 0
+	}
+	return reserves[classOf(m)]
 }
 
 // repeats bounds the repeats that reach the backend server. It is safe for
@@ -45,13 +54,13 @@
 }
 
 // again tells whether a repeat may be sent, and counts it.
-func (r *repeats) again(now time.Duration, c classifier.Class) bool {
+func (r *repeats) again(now time.Duration, m *encoder.Run) bool {
 	if r == nil {
 		return true
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.window.Try(now, reserves[c])
+	return r.window.Try(now, reserve(m))
 }
 
 // LimitRepeats bounds the repeats that this gate sends to its backend server in
@@ -75,7 +84,7 @@
 	r := h.repeats.Load()
 	if !m.GetAgain() {
 		r.first(h.clock.Now(), m.GetRepeatedTree())
-	} else if !r.again(h.clock.Now(), classOf(m)) {
+	} else if !r.again(h.clock.Now(), m) {
 		return connector.NotRun{Reason: resolver.ReasonNoRetryLeft}
 	}
 	for resends := 0; ; resends++ {
@@ -84,7 +93,7 @@
 		if !ok || refused.Reason != resolver.ReasonBackendRefused || r == nil || resends == maxResends || ctx.Err() != nil || !h.hasRoom() {
 			return reply
 		}
-		if !r.again(h.clock.Now(), classOf(m)) {
+		if !r.again(h.clock.Now(), m) {
 			return reply
 		}
 		h.record(m, recorder.KindRetry, resolver.NotRun{Reason: refused.Reason}, "the backend server has room; sent again")
