recorder: bounded log volume; a queue that never blocks a request

Cause: the log grew with the load (three lines a hop) and a reader that stands still blocked requests through BufferedWriteSyncer. Ruled out: dropping by kind of decision alone: failures must stay whole. Before: no bound. Conclusion: failures are kept before successes, and a line a second says what was left out.

--- a/core/linker/manager.go
+++ b/core/linker/manager.go
@@ -16,6 +16,11 @@
 	"crocustack/core/encoder"
 )
 
+// Linger is how long a node should wait after its last answer before it closes
+// its links: a TCP connection closed with unread input is reset, and the peer
+// then loses what it has not read.
+const Linger = 200 * time.Millisecond
+
 // Handler receives what peers send. Its methods are called on goroutines of
 // the link; Control is called for one message at a time of each link.
 type Handler interface {
--- a/core/recorder/recorder.go
+++ b/core/recorder/recorder.go
@@ -18,6 +18,7 @@
 
 	mu     sync.Mutex
 	recent *ring[Decision]
+	sieve  *sieve
 	// counters and timers hold the registered metrics by key, so that the
 	// request path builds no metric name.
 	counters map[counterKey]metrics.Counter
@@ -38,6 +39,7 @@
 		log:      log,
 		registry: metrics.NewRegistry(),
 		recent:   newRing[Decision](size),
+		sieve:    newSieve(),
 		counters: make(map[counterKey]metrics.Counter),
 		timers:   make(map[string]metrics.Timer),
 	}
@@ -46,25 +48,32 @@
 // Registry returns the metrics. Others may register their own in it.
 func (r *Recorder) Registry() metrics.Registry { return r.registry }
 
-// Record writes one decision.
+// Record writes one decision. Under load only a sample of what went well is
+// logged, and a line a second says how much was left out; ring and metrics hold
+// everything.
 func (r *Recorder) Record(d Decision) {
 	d.normalize()
 	r.mu.Lock()
 	r.recent.push(d)
 	counter := r.counter(counterKey{d.Kind, OutcomeName(d.Outcome), d.Reason})
 	var timer metrics.Timer
-	if d.Kind == KindAnswer && d.Took > 0 && d.KindName != "" {
+	if (d.Kind == KindAnswer || d.Kind == KindCall) && d.Took > 0 && d.KindName != "" {
 		timer = r.timer(d.KindName)
 	}
+	kept := r.log.Enabled() && r.sieve.keep(&d)
+	failures, successes, summary := r.sieve.summary(d.Time)
 	r.mu.Unlock()
 
 	counter.Inc(1)
 	if timer != nil {
 		timer.Update(d.Took)
 	}
-	if r.log.Enabled() {
+	if kept {
 		writeLine(r.log, &d)
 	}
+	if summary {
+		r.log.Info("decisions left out", "Failures", failures, "Successes", successes)
+	}
 }
 
 // counter returns the counter of a key. The caller holds mu. An answer is
--- /dev/null
+++ b/core/recorder/volume_test.go
@@ -0,0 +1,122 @@
+package recorder
+
+import (
+	"bytes"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"crocustack/core/resolver"
+)
+
+// stuck is a reader that takes nothing until it is released.
+type stuck struct {
+	release chan struct{}
+
+	mu  sync.Mutex
+	got bytes.Buffer
+}
+
+func (s *stuck) Write(b []byte) (int, error) {
+	<-s.release
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.got.Write(b)
+}
+
+// Guards against a request that waits for the reader of the log, and against
+// memory that grows with what the reader doesn't take: lines beyond the limit
+// are dropped and counted.
+func TestStuckReaderBlocksNobody(t *testing.T) {
+	s := &stuck{release: make(chan struct{})}
+	q := newQueue(s, 1000)
+	line := []byte(strings.Repeat("x", 99) + "\n")
+	written := make(chan struct{})
+	go func() {
+		for range 500 {
+			_, _ = q.Write(line)
+		}
+		close(written)
+	}()
+	select {
+	case <-written:
+	case <-time.After(10 * time.Second):
+		t.Fatal("writing waits for the reader")
+	}
+	// One batch of lines may be with the reader besides those that wait.
+	if n := q.Dropped(); n < 500-20 {
+		t.Errorf("%d of 500 lines dropped, want at least 480", n)
+	}
+	close(s.release)
+	_ = q.Close()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if got := s.got.Len(); got%len(line) != 0 || got > 2000 {
+		t.Errorf("%d bytes written, want at most 20 whole lines", got)
+	}
+}
+
+// Guards against lines that are lost although the reader keeps up.
+func TestQueueWritesInOrder(t *testing.T) {
+	var buf bytes.Buffer
+	q := NewQueue(&buf)
+	for _, text := range []string{"a\n", "b\n", "c\n"} {
+		_, _ = q.Write([]byte(text))
+	}
+	_ = q.Close()
+	if buf.String() != "a\nb\nc\n" || q.Dropped() != 0 {
+		t.Errorf("wrote %q, dropped %d", buf.String(), q.Dropped())
+	}
+}
+
+// Pattern: an overloaded node makes thousands of decisions a second. Guards
+// against a log that grows with them, against failures that are left out for
+// successes, and against lines that are left out without a word.
+func TestVolumeIsBounded(t *testing.T) {
+	var buf bytes.Buffer
+	log, decisions, err := NewLogger(&buf, &buf, "Info", "JSON", true)
+	_ = log
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := New(decisions, 8)
+	start := time.Unix(1700000000, 0)
+	const perSecond, seconds = 5000, 10
+	for i := range perSecond * seconds {
+		d := Decision{Time: start.Add(time.Duration(i) * time.Second / perSecond), Kind: KindAnswer, Outcome: resolver.Ran{Status: 200}}
+		if i%50 == 0 { // 100 a second.
+			d.Outcome = resolver.NotRun{Reason: resolver.ReasonQueueFull}
+		}
+		r.Record(d)
+	}
+	text := buf.String()
+	failures, summaries := strings.Count(text, "QueueFull"), strings.Count(text, "decisions left out")
+	successes := strings.Count(text, `"Ran"`)
+	if failures != 100*seconds {
+		t.Errorf("%d failures logged, want all %d", failures, 100*seconds)
+	}
+	if successes == 0 || successes > successLines*(seconds+lineBurst)+1 {
+		t.Errorf("%d successes logged, want a sample of at most %d", successes, successLines*(seconds+lineBurst)+1)
+	}
+	if summaries < seconds-1 || summaries > seconds+1 {
+		t.Errorf("%d summaries in %d s", summaries, seconds)
+	}
+}
+
+// The cost of a decision whose line waits for a reader that stands still.
+func BenchmarkRecordStuckReader(b *testing.B) {
+	s := &stuck{release: make(chan struct{})}
+	defer close(s.release)
+	_, decisions, err := NewLogger(s, NewQueue(s), "Info", "JSON", true)
+	if err != nil {
+		b.Fatal(err)
+	}
+	r := New(decisions, 8)
+	b.ReportAllocs()
+	for b.Loop() {
+		d := sample
+		d.Time = time.Now()
+		r.Record(d)
+	}
+}
--- a/crocusd/internal/composer/composer.go
+++ b/crocusd/internal/composer/composer.go
@@ -14,7 +14,6 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/go-logr/logr"
-	"go.uber.org/zap/zapcore"
 
 	"crocustack/core/admitter"
 	"crocustack/core/configurer"
@@ -35,8 +34,6 @@
 const (
 	// recentDecisions is the number of decisions that the admin API can show.
 	recentDecisions = 1024
-	// logFlushInterval bounds how late a decision line is written.
-	logFlushInterval = 100 * time.Millisecond
 	// linkDialTimeout bounds a new link; the other domains of a region are some
 	// milliseconds away.
 	linkDialTimeout = 400 * time.Millisecond
@@ -103,8 +100,8 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "settings: Platform.Bounds")
 	}
-	lines := &zapcore.BufferedWriteSyncer{WS: zapcore.AddSync(out), FlushInterval: logFlushInterval}
-	program, decisions, err := recorder.NewLogger(out, lines, cfg.Log.Level, cfg.Log.Format, cfg.Log.Decisions)
+	lines := recorder.NewQueue(out)
+	program, decisions, err := recorder.NewLogger(lines, lines, cfg.Log.Level, cfg.Log.Format, cfg.Log.Decisions)
 	if err != nil {
 		return nil, err
 	}
@@ -113,7 +110,7 @@
 		return nil, errors.Wrap(err, "settings: Node.Link")
 	}
 	n := &Node{
-		cfg: cfg, log: program, flushLog: lines.Stop, clock: timekeeper.NewClock(),
+		cfg: cfg, log: program, flushLog: lines.Close, clock: timekeeper.NewClock(),
 		self:     gatekeeper.Incarnation{Service: cfg.Node.Service, Address: cfg.Node.Link, BootID: newBootID()},
 		linkPort: port, backendHost: host, regions: regionsOf(cfg.Platform.Regions),
 		store: platform.NewStore(hostOf(cfg.Platform.URL)), backend: platform.NewBackend(hostOf(cfg.Backend.URL)),
@@ -206,7 +203,7 @@
 	// stopMargin is how long before the end of the grace time the process ends
 	// whatever is left.
 	stopMargin = 500 * time.Millisecond
-	// idleTime is how long there must be no request before the process ends.
+	// stopPoll is the time between two looks at what is still in flight.
 	stopPoll = 20 * time.Millisecond
 )
 
@@ -225,6 +222,7 @@
 	if err := outbound.Shutdown(ctx); err != nil {
 		n.log.Error(err, "requests cut off at the end of the grace time", "Active", n.dispatch.Active())
 	}
+	sleep(ctx, linker.Linger)
 	n.log.Info("drain ended", "Active", n.handler.Active())
 }
 
--- a/crocusd/internal/runner/runner.go
+++ b/crocusd/internal/runner/runner.go
@@ -16,7 +16,6 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/go-logr/logr"
-	"go.uber.org/zap/zapcore"
 
 	"crocustack/core/admitter"
 	"crocustack/core/configurer"
@@ -42,19 +41,11 @@
 // recentDecisions is the number of decisions that the admin API can show.
 const recentDecisions = 4096
 
-// logFlushInterval bounds how late a decision line is written. A system call
-// for each of them would add to the latency of every request.
-const logFlushInterval = 100 * time.Millisecond
-
 const (
 	// leaveNotice is how long a leaving node still answers callers, with
 	// Draining and "Connection: close". Closing the listener at once would
 	// reset requests that callers just sent on kept-alive connections.
 	leaveNotice = time.Second
-	// linkLinger lets peers read the last answers before the links close: a
-	// TCP connection closed with unread input is reset, and the peer then
-	// loses what it has not read.
-	linkLinger = 200 * time.Millisecond
 )
 
 // Node is a running node.
@@ -87,13 +78,13 @@
 
 // New puts a node together. It opens no socket.
 func New(cfg configurer.Settings, out io.Writer) (*Node, error) {
-	lines := &zapcore.BufferedWriteSyncer{WS: zapcore.AddSync(out), FlushInterval: logFlushInterval}
-	program, decisions, err := recorder.NewLogger(out, lines, cfg.Log.Level, cfg.Log.Format, cfg.Log.Decisions)
+	lines := recorder.NewQueue(out)
+	program, decisions, err := recorder.NewLogger(lines, lines, cfg.Log.Level, cfg.Log.Format, cfg.Log.Decisions)
 	if err != nil {
 		return nil, err
 	}
 	n := &Node{
-		cfg: cfg, log: program, flushLog: lines.Stop, clock: timekeeper.NewClock(), started: time.Now(), drain: make(chan struct{}),
+		cfg: cfg, log: program, flushLog: lines.Close, clock: timekeeper.NewClock(), started: time.Now(), drain: make(chan struct{}),
 		self: gatekeeper.Incarnation{Service: cfg.Node.Service, Address: cfg.Node.Link, BootID: newBootID()},
 	}
 	n.rec = recorder.New(decisions, recentDecisions)
@@ -309,7 +300,7 @@
 		n.log.Error(err, "runs cut off by the drain timeout", "Active", n.handler.Active())
 	}
 	_ = outbound.Shutdown(ctx)
-	sleep(ctx, linkLinger)
+	sleep(ctx, linker.Linger)
 	n.log.Info("drain ended")
 }
 
