admitter, dispatcher: demand weighted by the level that was applied; a stopping node closes for clients

Fast upstreams filled up before slow ones were half full. Ruled out: a faster decay: the wrong estimate is a fixed point. Conclusion: the level that a tree passed travels with its calls.

--- a/core/admitter/admitter.go
+++ b/core/admitter/admitter.go
@@ -67,6 +67,9 @@
 	// Depth is the number of calls between the caller's request and this one.
 	Depth  uint32
 	TreeID uint64
+	// AppliedLevel is the admission level that the tree had to reach where it
+	// began. It tells how many others were refused there.
+	AppliedLevel uint32
 	// Deadline is the time after which the answer is useless; 0 for none.
 	Deadline time.Duration
 }
@@ -147,7 +150,7 @@
 		return []Decision{Shed{r.ID, resolver.ReasonDeadlineExceeded}}
 	}
 	if a.cfg.Stated {
-		a.planner.offer(r.Class, r.Kind)
+		a.planner.offer(r)
 	}
 	a.leveler.offered[e.priority]++
 	// A free slot that nobody waits for is used whatever the level, so that a
--- a/core/admitter/planner.go
+++ b/core/admitter/planner.go
@@ -11,15 +11,12 @@
 	// plannedShare is the part of the limit that is planned to be busy. The rest
 	// absorbs random arrivals.
 	plannedShare = 0.92
-	// demandTime is the time constant with which demand is averaged, and
-	// adoptTime the one with which a new level reaches the senders: it travels on
-	// answers, through up to three services.
+	// demandTime is the time constant with which demand is averaged.
 	demandTime = 400 * time.Millisecond
-	adoptTime  = 250 * time.Millisecond
 	// drainTime is the time within which requests that wait should get a slot.
 	drainTime = 500 * time.Millisecond
-	// minPassing is the passing part of a class below which its demand can't be
-	// told from what still arrives.
+	// minPassing bounds the weight of one arrival: below this passing part of a
+	// class its demand can't be told from what still arrives.
 	minPassing = 1.0 / 16
 	// holdWeight is the weight of one sample in the mean time that a kind holds
 	// a slot.
@@ -33,15 +30,14 @@
 type planner struct {
 	// holds is the mean time in seconds that each kind holds a slot.
 	holds map[string]float64
-	// work is the slot time in seconds of this window's arrivals by class.
+	// work is the slot time in seconds of this window's arrivals by class, each
+	// weighted by how many trees stood for it before some were refused.
 	work [classifier.NumClasses]float64
 	// demand is the number of slots that each class would keep busy if all of
 	// its trees were admitted.
 	demand [classifier.NumClasses]float64
-	// adopted is the level that the senders apply, as far as it can be told.
-	adopted float64
-	level   uint32
-	last    time.Duration
+	level  uint32
+	last   time.Duration
 }
 
 func newPlanner() planner { return planner{holds: make(map[string]float64)} }
@@ -64,8 +60,12 @@
 	p.holds[kind] = mean + holdWeight*(s-mean)
 }
 
-// offer counts an arrival.
-func (p *planner) offer(c classifier.Class, kind string) { p.work[c] += p.holds[kind] }
+// offer counts an arrival. When the tree was one of a part that passed the level
+// where it began, it stands for the refused ones too (Horvitz and Thompson 1952).
+// The gate's own level says less: senders mix the levels of several gates.
+func (p *planner) offer(r Request) {
+	p.work[r.Class] += p.holds[r.Kind] / max(passing(r.Class, r.AppliedLevel), minPassing)
+}
 
 // endWindow computes the level. waiting is the slot time of the queued requests.
 func (p *planner) endWindow(now time.Duration, limit int, waiting time.Duration) {
@@ -75,14 +75,13 @@
 		return
 	}
 	for c := range p.demand {
-		if part := passing(classifier.Class(c), p.adopted); part >= minPassing {
-			sample := p.work[c] / passed.Seconds() / part
-			p.demand[c] += blend(passed, demandTime) * (sample - p.demand[c])
+		// Nothing is learned of a class that is refused as a whole.
+		if p.work[c] > 0 || passing(classifier.Class(c), p.level) >= minPassing {
+			p.demand[c] += blend(passed, demandTime) * (p.work[c]/passed.Seconds() - p.demand[c])
 		}
 		p.work[c] = 0
 	}
 	p.level = p.plan(plannedShare*float64(limit) - waiting.Seconds()/drainTime.Seconds())
-	p.adopted += blend(passed, adoptTime) * (float64(p.level) - p.adopted)
 }
 
 // plan returns the lowest level whose requests fit into the room.
@@ -100,8 +99,8 @@
 }
 
 // passing is the part of a class that a level lets pass.
-func passing(c classifier.Class, level float64) float64 {
-	above := float64(c+1)*levelsPerClass - level
+func passing(c classifier.Class, level uint32) float64 {
+	above := float64(c+1)*levelsPerClass - float64(level)
 	return min(max(above/levelsPerClass, 0), 1)
 }
 
--- a/core/admitter/tree_test.go
+++ b/core/admitter/tree_test.go
@@ -20,9 +20,10 @@
 
 // tree is one admitted tree.
 type tree struct {
-	stream *treeStream
-	id     uint64
-	left   int // Calls that are not answered yet.
+	stream  *treeStream
+	id      uint64
+	left    int // Calls that are not answered yet.
+	applied uint32
 }
 
 // event is something that happens to a tree at a time.
@@ -44,6 +45,19 @@
 	waiting  map[uint64]*tree
 	nextCall uint64
 	measure  bool
+	// others is the part of the trees whose sender heard last of another gate of
+	// the service, which has room.
+	others float64
+	// change is called at every step; nil for none.
+	change func(now time.Duration)
+}
+
+// applied is the level that the sender of a new tree applies.
+func (s *treeSim) applied(now time.Duration) uint32 {
+	if s.rng.Float64() < s.others {
+		return 0
+	}
+	return s.levels[(now - s.lag).Truncate(window)]
 }
 
 func (s *treeSim) decide(now time.Duration, ds []Decision) {
@@ -69,7 +83,7 @@
 	s.nextCall++
 	s.waiting[s.nextCall] = t
 	s.decide(now, s.a.Offer(now, Request{
-		ID: s.nextCall, Class: t.stream.class, Kind: "call", Depth: 3, TreeID: t.id, Deadline: now + s.budget,
+		ID: s.nextCall, Class: t.stream.class, Kind: "call", Depth: 3, TreeID: t.id, AppliedLevel: t.applied, Deadline: now + s.budget,
 	}))
 }
 
@@ -79,6 +93,9 @@
 		if now == warmUp {
 			s.measure = true
 		}
+		if s.change != nil {
+			s.change(now)
+		}
 		for _, e := range s.done[now] {
 			s.decide(now, s.a.Release(now, e.call, Result{Latency: e.held}))
 			if e.tree.left--; e.tree.left > 0 {
@@ -94,13 +111,14 @@
 				if s.measure {
 					st.offered++
 				}
-				if Priority(st.class, id) < s.levels[(now-s.lag).Truncate(window)] {
+				applied := s.applied(now)
+				if Priority(st.class, id) < applied {
 					if s.measure {
 						st.refused++
 					}
 					continue
 				}
-				s.call(now, &tree{stream: st, id: id, left: st.calls})
+				s.call(now, &tree{stream: st, id: id, left: st.calls, applied: applied})
 			}
 		}
 		if now%(10*time.Millisecond) == 0 {
@@ -155,6 +173,29 @@
 	}
 }
 
+// Pattern: an overload ends, while senders mix the level of this gate with that
+// of another one that has room. Guards against a level that stays up because more
+// trees pass than the gate thinks.
+func TestLevelFallsWhenSendersMixLevels(t *testing.T) {
+	const slots, work = 25, 22 * time.Millisecond
+	capacity := slots / work.Seconds()
+	rest := &treeStream{class: classifier.ClassBrowse, calls: 4, rate: 1.5 * capacity / 4}
+	s := &treeSim{
+		a: New(Config{Slots: slots, Stated: true}), rng: rand.New(rand.NewPCG(5, 6)), work: work,
+		lag: 300 * time.Millisecond, budget: 700 * time.Millisecond, others: 0.5,
+		levels: map[time.Duration]uint32{}, done: map[time.Duration][]event{}, waiting: map[uint64]*tree{},
+	}
+	s.change = func(now time.Duration) {
+		if now == 4*time.Second {
+			rest.rate = 0.7 * capacity / 4
+		}
+	}
+	s.run(6*time.Second, 12*time.Second, []*treeStream{rest})
+	if lost := float64(rest.refused+rest.failed) / float64(rest.offered); lost > 0.01 {
+		t.Errorf("%.3f of the trees refused or failed 2 s after the overload, want at most 0.01: %+v", lost, *rest)
+	}
+}
+
 // Pattern: a queue that can't be served in time. Guards against requests that
 // wait although they can't be answered before their deadline any more: they are
 // refused at once.
--- a/core/router/stats.go
+++ b/core/router/stats.go
@@ -21,6 +21,11 @@
 	// queueFactor is what load above the limit counts as. Such requests wait,
 	// while those within the limit hardly disturb each other.
 	queueFactor = 3
+	// busyLoad is the load from which an upstream is about to have no room, and
+	// busyFactor what each further part of its limit costs. Without it a fast
+	// upstream fills up, and work is refused, before a slow one is half full.
+	busyLoad   = 0.7
+	busyFactor = 10
 	// idleLoad is added to the load, as a share of the limit. It keeps the
 	// relation of two scores near 1 while both upstreams have little to do.
 	// With 0.5, work left the own domain at half of its capacity.
@@ -123,7 +128,7 @@
 	}
 	limit := cmp.Or(s.limit, assumedLimit)
 	load := (float64(s.inFlight) + s.others.get(now, reportTime)) / limit
-	load += (queueFactor - 1) * max(load-1, 0)
+	load += busyFactor*min(max(load-busyLoad, 0), 1-busyLoad) + (queueFactor-1)*max(load-1, 0)
 	return latency * (idleLoad + load) * (1 + failureFactor*s.failures.get(now, failureTime))
 }
 
--- a/crocusd/internal/composer/composer.go
+++ b/crocusd/internal/composer/composer.go
@@ -198,7 +198,8 @@
 
 const (
 	// noticeTime is how long a leaving node goes on taking requests: clients
-	// stop after two readiness questions, which come once a second.
+	// stop after two readiness questions, which come once a second. What is taken
+	// later could not end before the process does.
 	noticeTime = 2500 * time.Millisecond
 	// stopMargin is how long before the end of the grace time the process ends
 	// whatever is left.
@@ -215,6 +216,7 @@
 	n.dispatch.Leave()
 	n.announce()
 	sleep(ctx, noticeTime)
+	n.dispatch.Close()
 	n.handler.Leave()
 	for ctx.Err() == nil && (n.handler.Active() > 0 || n.dispatch.Active() > 0) {
 		sleep(ctx, stopPoll)
--- a/crocusd/internal/dispatcher/dispatcher.go
+++ b/crocusd/internal/dispatcher/dispatcher.go
@@ -49,7 +49,9 @@
 	splitter *matcher.Splitter
 	routing  atomic.Pointer[routing]
 	leaving  atomic.Bool
-	active   atomic.Int64
+	// closed is true once requests of clients are refused.
+	closed atomic.Bool
+	active atomic.Int64
 }
 
 // New returns a dispatcher without a configuration.
@@ -70,6 +72,11 @@
 // are still served.
 func (d *Dispatcher) Leave() { d.leaving.Store(true) }
 
+// Close refuses further requests of clients, so that those in flight can end
+// before the process does. Calls of the backend server go on, because they
+// belong to requests in flight.
+func (d *Dispatcher) Close() { d.closed.Store(true) }
+
 // Leaving implements connector.Dispatcher.
 func (d *Dispatcher) Leaving() bool { return d.leaving.Load() }
 
@@ -121,6 +128,9 @@
 	if r == nil {
 		return q, resolver.ReasonNotReady
 	}
+	if d.closed.Load() && in.Parent == "" {
+		return q, resolver.ReasonDraining
+	}
 	route, ok := r.table.Find(in.Host, in.Path)
 	if !ok {
 		return q, resolver.ReasonUnknownKind
@@ -162,7 +172,7 @@
 	}
 	run := tied.Run
 	q.Parent, q.Class, q.TreeID, q.Depth, q.Pool = run.Kind, run.Class, run.TreeID, run.Depth+1, run.Pool
-	q.RepeatedTree = run.Repeated
+	q.RepeatedTree, q.AppliedLevel = run.Repeated, run.AppliedLevel
 	if run.Deadline.Before(q.Deadline) {
 		q.Deadline = run.Deadline
 	}
--- a/crocusd/internal/dispatcher/dispatcher_test.go
+++ b/crocusd/internal/dispatcher/dispatcher_test.go
@@ -176,3 +176,26 @@
 		t.Errorf("%v for a route that doesn't exist", got)
 	}
 }
+
+// Pattern: a node is restarted while its clients can't go elsewhere. Guards
+// against requests that are taken so late that the process ends before them, and
+// against calls refused that running requests wait for.
+func TestClosedTakesOnlyCalls(t *testing.T) {
+	f := &fakeForwarder{outcome: resolver.Ran{Status: 200}}
+	d, _ := newDispatcher(f)
+	d.SetConfig(config(1, 0))
+	d.Leave()
+	if v := d.Dispatch(context.Background(), inbound(time.Second), &abortSink{}); v != connector.Verdict(connector.Delivered{}) {
+		t.Errorf("a leaving node answers %+v before it closes", v)
+	}
+	d.Close()
+	v, ok := d.Dispatch(context.Background(), inbound(time.Second), &abortSink{}).(connector.Refused)
+	if !ok || v.Reason != resolver.ReasonDraining || v.RetryAfter <= 0 {
+		t.Errorf("a closed node answers %+v", v)
+	}
+	call := inbound(time.Second)
+	call.ID, call.Parent = "1.2", "1"
+	if v := d.Dispatch(context.Background(), call, &abortSink{}); v != connector.Verdict(connector.Delivered{}) {
+		t.Errorf("a call gets %+v", v)
+	}
+}
--- a/crocusd/internal/dispatcher/retryafter.go
+++ b/crocusd/internal/dispatcher/retryafter.go
@@ -16,7 +16,8 @@
 	// so that the second attempt can still be in time.
 	retryShare          = 0.3
 	retryObjectiveShare = 0.5
-	// unreadyRetryAfter is asked for while no configuration is in force.
+	// unreadyRetryAfter is asked for while no configuration is in force, or while
+	// the process is about to be started again.
 	unreadyRetryAfter = 500 * time.Millisecond
 )
 
@@ -26,7 +27,7 @@
 	switch reason {
 	case resolver.ReasonUnknownKind, resolver.ReasonBadRequest, resolver.ReasonBodyTooLarge, resolver.ReasonDeadlineExceeded:
 		return 0
-	case resolver.ReasonNotReady:
+	case resolver.ReasonNotReady, resolver.ReasonDraining:
 		return unreadyRetryAfter/2 + time.Duration(draw*float64(unreadyRetryAfter))
 	default:
 	}
--- a/crocusd/internal/forwarder/forwarder.go
+++ b/crocusd/internal/forwarder/forwarder.go
@@ -114,8 +114,8 @@
 // allowed. When the outcome is Ran, the sink has received the whole answer.
 func (f *Forwarder) Forward(ctx context.Context, q Request, sink Sink) Result {
 	if q.Depth == 0 && !f.cfg.PassThrough {
-		priority := admitter.Priority(q.Class, q.TreeID)
-		if !f.levels.Allows(f.clock.Now(), q.Service, q.Kind.Name, priority) {
+		q.AppliedLevel = f.levels.Effective(f.clock.Now(), q.Service, q.Kind.Name)
+		if admitter.Priority(q.Class, q.TreeID) < q.AppliedLevel {
 			return Result{Outcome: resolver.NotRun{Reason: resolver.ReasonLevelBelowDownstream}}
 		}
 	}
--- a/crocusd/internal/forwarder/request.go
+++ b/crocusd/internal/forwarder/request.go
@@ -45,6 +45,9 @@
 	Repeat bool
 	// First says that the caller stated that it never sent the request before.
 	First bool
+	// AppliedLevel is the admission level that the tree of a call had to reach
+	// where it began.
+	AppliedLevel uint32
 	// RepeatedTree says that the request belongs to a run that is a repeat.
 	RepeatedTree bool
 	// Outbound is true for a call of the node's own backend server.
--- a/crocusd/internal/forwarder/try.go
+++ b/crocusd/internal/forwarder/try.go
@@ -135,6 +135,7 @@
 		Instance:        t.upstream.Instance,
 		Again:           t.loop.reached() > 0,
 		RepeatedTree:    q.RepeatedTree,
+		AppliedLevel:    q.AppliedLevel,
 	}
 	if q.Ticket != nil {
 		t.run.Ticket = q.Ticket.Message()
--- a/crocusd/internal/handler/handler.go
+++ b/crocusd/internal/handler/handler.go
@@ -286,7 +286,7 @@
 	id, reason := uint64(0), resolver.ReasonNone
 	if !h.cfg.PassThrough {
 		id, reason = h.adm.enter(waitCtx, admitter.Request{
-			Class: classOf(m), Kind: m.GetKind(), Depth: m.GetDepth(), TreeID: m.GetTreeId(), Deadline: arrived + time.Until(deadlineOf(ctx)),
+			Class: classOf(m), Kind: m.GetKind(), Depth: m.GetDepth(), TreeID: m.GetTreeId(), AppliedLevel: m.GetAppliedLevel(), Deadline: arrived + time.Until(deadlineOf(ctx)),
 		})
 	}
 	close(admitted)
--- a/crocusd/internal/tracer/registry.go
+++ b/crocusd/internal/tracer/registry.go
@@ -25,6 +25,8 @@
 	Deadline time.Time
 	// Pool holds the retries that the request may still hand down.
 	Pool *budgeter.Pool
+	// AppliedLevel is the admission level that the tree had to reach.
+	AppliedLevel uint32
 	// Repeated is true when the request, or one above it, was sent before.
 	Repeated bool
 }
