composer, prover: a missed change of the store is seen through peers; refused requests are sent again before the stop

TestP7SIGTERM waited for 8 requests in flight, of which a busy gate had refused some (its limiter takes the latency of a busy machine for overload), and never sent them again. Conclusion: answers carry the revision that a node has read.

--- a/crocusd/internal/composer/composer.go
+++ b/crocusd/internal/composer/composer.go
@@ -83,6 +83,8 @@
 	store    *platform.Store
 	// leaving is true once the process was asked to end.
 	leaving atomic.Bool
+	// news is what peers have read of the store.
+	news *news
 	// service is the service of the backend server next door.
 	service atomic.Pointer[string]
 	// regions holds the region of each failure domain that the settings name.
@@ -112,7 +114,7 @@
 	n := &Node{
 		cfg: cfg, log: program, flushLog: lines.Close, clock: timekeeper.NewClock(),
 		self:     gatekeeper.Incarnation{Service: cfg.Node.Service, Address: cfg.Node.Link, BootID: newBootID()},
-		linkPort: port, backendHost: host, regions: regionsOf(cfg.Platform.Regions),
+		linkPort: port, backendHost: host, regions: regionsOf(cfg.Platform.Regions), news: newNews(),
 		store: platform.NewStore(hostOf(cfg.Platform.URL)), backend: platform.NewBackend(hostOf(cfg.Backend.URL)),
 	}
 	n.service.Store(&cfg.Node.Service)
@@ -136,7 +138,7 @@
 		Gate:      gatekeeper.Config{MaxRecords: maxRecords, MaxAnswerBytes: maxAnswerBytes, MaxAnswer: holdAnswerBytes},
 	}, n.backend, n.self, n.clock, runs, calls, levels, n.rec)
 	n.forward = forwarder.New(forwarder.Config{
-		HoldAnswerBytes: holdAnswerBytes, FreeMoves: freeMoves,
+		HoldAnswerBytes: holdAnswerBytes, FreeMoves: freeMoves, OnRevision: n.news.tell,
 		Find: func(context.Context, string) bool { return false },
 	}, n.self.BootID, n.clock, n.links, n.router, levels, calls, n.rec)
 	n.dispatch = dispatcher.New(n.forward, runs, n.rec)
--- a/crocusd/internal/composer/follow.go
+++ b/crocusd/internal/composer/follow.go
@@ -25,9 +25,12 @@
 	// After a failed read the next one follows after minPause, twice as long
 	// after each further failure, up to maxPause.
 	minPause = 100 * time.Millisecond
-	maxPause = 800 * time.Millisecond
+	maxPause = 500 * time.Millisecond
 )
 
+// errBehind ends a watch that missed what a peer has read.
+var errBehind = errors.New("a peer has read more of the store than this watch returned")
+
 // follow reads the store until ctx ends and puts in force what it says.
 func (n *Node) follow(ctx context.Context) {
 	f := follower{n: n, tracker: observer.New()}
@@ -57,23 +60,31 @@
 // step reads once and returns false when that failed.
 func (f *follower) step(ctx context.Context) bool {
 	began := f.n.clock.Now()
-	wait := watchWait
-	if f.revision == 0 {
-		wait = 0
+	wait := f.tracker.Wait(began, watchWait)
+	if f.revision == 0 || f.lost {
+		wait = 0 // The question is whether the store answers at all.
 	}
 	ctx, cancel := context.WithTimeout(ctx, wait+storeTimeout)
 	defer cancel()
+	ctx, abandon := context.WithCancelCause(ctx)
+	defer abandon(nil)
+	if f.revision > 0 {
+		go func() {
+			if f.n.news.behind(ctx, f.revision) {
+				abandon(errBehind)
+			}
+		}()
+	}
 	var cs connector.Changes
 	var err error
 	if f.revision == 0 {
 		cs, err = f.n.store.List(ctx)
 	} else {
-		cs, err = f.n.store.Watch(ctx, f.revision, f.tracker.Wait(began, wait))
+		cs, err = f.n.store.Watch(ctx, f.revision, wait)
 	}
 	now := f.n.clock.Now()
 	if err != nil {
-		f.failed(ctx, began, now, err)
-		return errors.Is(err, connector.ErrHistoryGone)
+		return f.failed(ctx, began, now, err)
 	}
 	if f.lost {
 		f.lost = false
@@ -83,11 +94,20 @@
 	return true
 }
 
-func (f *follower) failed(ctx context.Context, began, now time.Duration, err error) {
-	if errors.Is(err, connector.ErrHistoryGone) {
+// failed notes why a read brought nothing. It returns true when the next one may
+// follow at once.
+func (f *follower) failed(ctx context.Context, began, now time.Duration, err error) bool {
+	switch {
+	case errors.Is(err, connector.ErrHistoryGone):
 		f.n.log.Info("store dropped its history; listing it again", "Revision", f.revision)
 		f.revision = 0
-		return
+		return true
+	case errors.Is(context.Cause(ctx), errBehind):
+		f.n.log.Info("watch of the store is behind; asking again", "Revision", f.revision, "Peer", f.n.news.highest.Load())
+		// A store that answers this node with less than it told a peer is asked no
+		// more often than after a failure.
+		f.tracker.Failed(now)
+		return false
 	}
 	if ctx.Err() != nil {
 		// Without an answer the store may have been away since the call began.
@@ -98,6 +118,7 @@
 		f.lost = true
 		f.n.log.Info("store lost", "Revision", f.revision, "Error", err.Error())
 	}
+	return false
 }
 
 // take applies an answer.
@@ -114,6 +135,7 @@
 		changed = f.tracker.Changed(now, cs)
 	}
 	f.revision = cs.Revision
+	f.n.handler.SetRevision(cs.Revision)
 	if f.tracker.Expire(now) || changed {
 		f.n.apply(now, f.tracker.View(), f.revision)
 	}
--- a/crocusd/internal/forwarder/forwarder.go
+++ b/crocusd/internal/forwarder/forwarder.go
@@ -28,6 +28,9 @@
 	// Find looks for upstreams of a service that the router knows none of. It
 	// may block for a moment and returns true when there are some.
 	Find func(ctx context.Context, service string) bool
+	// OnRevision is told the revision of the platform's store that a peer has
+	// read; nil for none.
+	OnRevision func(revision int64)
 	// FreeMoves is how often a request may go on to another upstream without a
 	// unit of allowance when the backend server has not seen it.
 	FreeMoves int
@@ -223,6 +226,9 @@
 	}
 	now := f.clock.Now()
 	f.levels.Observe(now, q.Service, q.Kind.Name, ld.GetLevel())
+	if f.cfg.OnRevision != nil {
+		f.cfg.OnRevision(ld.GetRevision())
+	}
 	if ld.GetDraining() {
 		f.router.MarkLeaving(now, address)
 		f.Leaving(address)
--- a/crocusd/internal/handler/handler.go
+++ b/crocusd/internal/handler/handler.go
@@ -58,6 +58,8 @@
 	repeats   atomic.Pointer[repeats]
 	repeatsMu sync.Mutex
 
+	// revision is what the node has read of the platform's store; 0 for nothing.
+	revision atomic.Int64
 	draining atomic.Bool
 	active   atomic.Int64
 }
@@ -114,6 +116,9 @@
 	h.adm.setLimits(slots, queueTime, queueLength)
 }
 
+// SetRevision changes the revision that answers carry.
+func (h *Handler) SetRevision(revision int64) { h.revision.Store(revision) }
+
 // Load returns the load of the gate for the admin API.
 func (h *Handler) Load() admitter.Load { return h.adm.load() }
 
@@ -343,7 +348,7 @@
 	ld := h.adm.load()
 	return &encoder.Load{
 		InFlight: uint32(ld.InFlight), Queued: uint32(ld.Queued), Limit: uint32(ld.Limit),
-		Level: h.levelOf(kind), Draining: h.Draining(),
+		Level: h.levelOf(kind), Draining: h.Draining(), Revision: h.revision.Load(),
 	}
 }
 
--- a/crocusfake/internal/prover/leave_test.go
+++ b/crocusfake/internal/prover/leave_test.go
@@ -125,6 +125,7 @@
 	}
 	const inFlight = 8
 	var whole, notRun atomic.Int64
+	var stopping atomic.Bool
 	var wg sync.WaitGroup
 	for i := range inFlight {
 		wg.Go(func() {
@@ -140,6 +141,14 @@
 			}
 			req.Header.Set(worker.HeaderKey, key)
 			resp, err := http.DefaultClient.Do(req)
+			// On a busy machine the latency of the earlier requests makes the gate
+			// lower its limit, and it refuses some of these. They are sent again, so
+			// that all are in flight when the stop begins.
+			for err == nil && resp.Header.Get("Crocus-Outcome") == "NotRun" && !stopping.Load() {
+				_ = resp.Body.Close()
+				time.Sleep(20 * time.Millisecond)
+				resp, err = http.DefaultClient.Do(req)
+			}
 			if err != nil {
 				t.Errorf("%s: %v", key, err)
 				return
@@ -160,6 +169,7 @@
 	}
 	eventually(t, "requests in flight", func() bool { return f.started("entry-") == inFlight })
 	here := leaving.worker.Present()
+	stopping.Store(true)
 	leaving.signal(syscall.SIGTERM)
 	for _, n := range f.of("archive") {
 		n.worker.SetSlow(1)
