admitter: a kind that was slow once keeps its free slots

Ruled out: a decay of the mean: it would come back with the next slow request. Before: TestKindRecoversAfterSlowness: refused with DeadlineExceeded although all slots are free. After: passes. Conclusion: at most half of a request's time is kept for its run.

--- a/core/admitter/admitter.go
+++ b/core/admitter/admitter.go
@@ -145,7 +145,7 @@
 func (a *Admitter) Offer(now time.Duration, r Request) []Decision {
 	a.limiter.start(now)
 	r.Class = min(max(r.Class, 0), classifier.NumClasses-1)
-	e := entry{Request: r, arrived: now, latest: a.latestStart(r), priority: Priority(r.Class, r.TreeID)}
+	e := entry{Request: r, arrived: now, latest: a.latestStart(now, r), priority: Priority(r.Class, r.TreeID)}
 	if e.expired(now, a.cfg.QueueTime) {
 		return []Decision{Shed{r.ID, resolver.ReasonDeadlineExceeded}}
 	}
@@ -178,12 +178,14 @@
 }
 
 // latestStart is the time after which a request can't be answered in time any
-// more, or 0 when it has no deadline.
-func (a *Admitter) latestStart(r Request) time.Duration {
-	if r.Deadline <= 0 || !a.cfg.Stated {
+// more, or 0 when it has no deadline. At least half of its time may be spent
+// waiting: a kind that was slow once would otherwise be refused for good, since
+// what is refused teaches nothing.
+func (a *Admitter) latestStart(now time.Duration, r Request) time.Duration {
+	if r.Deadline <= now || !a.cfg.Stated {
 		return r.Deadline
 	}
-	return max(r.Deadline-a.planner.hold(r.Kind), 1)
+	return r.Deadline - min(a.planner.hold(r.Kind), (r.Deadline-now)/2)
 }
 
 // startIn estimates when a queued request would get a slot: the requests that go
--- a/core/admitter/tree_test.go
+++ b/core/admitter/tree_test.go
@@ -220,3 +220,22 @@
 		t.Errorf("%d of 10 requests refused at once, want at least 5", refused)
 	}
 }
+
+// Pattern: a backend server is so slow for a while that every request of a kind
+// runs into its deadline. Guards against a kind that is refused for good after
+// that: the time it once took must not keep it from a free slot.
+func TestKindRecoversAfterSlowness(t *testing.T) {
+	a := New(Config{Slots: 4, Stated: true})
+	const budget = 400 * time.Millisecond
+	now := time.Duration(0)
+	for id := range uint64(100) {
+		a.Offer(now, Request{ID: id + 1, Kind: "k", Deadline: now + budget})
+		now += budget
+		a.Release(now, id+1, Result{Latency: budget, Failed: true})
+	}
+	for _, d := range a.Offer(now, Request{ID: 1000, Kind: "k", Deadline: now + budget}) {
+		if s, ok := d.(Shed); ok {
+			t.Errorf("refused with %v although all slots are free", s.Reason)
+		}
+	}
+}
