crocusctl: explain reads logs

Ruled out: a second form of the lines for machines. Before: explain asked nodes only. Conclusion: one search by the client's own id is enough.

--- a/crocusctl/internal/commander/commander.go
+++ b/crocusctl/internal/commander/commander.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"os"
 	"text/tabwriter"
 	"time"
 
@@ -25,6 +26,7 @@
 
 // environment is what a verb may touch.
 type environment struct {
+	stdin          io.Reader
 	stdout, stderr io.Writer
 	client         *http.Client
 	now            func() time.Time
@@ -72,6 +74,7 @@
 // Run runs one command line and returns its exit code.
 func Run(ctx context.Context, args []string, stdout, stderr io.Writer) int {
 	return run(ctx, &environment{
+		stdin:  os.Stdin,
 		stdout: stdout, stderr: stderr, client: &http.Client{}, now: time.Now,
 		sleep: func(ctx context.Context, d time.Duration) error {
 			select {
--- a/crocusctl/internal/commander/explain.go
+++ b/crocusctl/internal/commander/explain.go
@@ -10,13 +10,14 @@
 	"crocustack/core/resolver"
 )
 
-const explainUsage = `Collects the decisions about one request from the nodes and shows why it was routed, shed or refused. REQUEST-ID is the value of the response header Crocus-Request. Nodes keep a limited number of recent decisions; older ones are in their logs. Lines are ordered by the clock of the node that wrote them, and clocks of nodes can differ.
+const explainUsage = `Collects the decisions about one request from the nodes and shows why it was routed, shed or refused. REQUEST-ID is the value of the response header Crocus-Request. Nodes keep a limited number of recent decisions; older ones are in their logs, which --log reads. With --log, calls made for the request are shown too where their ids begin with its own. Lines are ordered by the clock of the node that wrote them, and clocks of nodes can differ.
 
 Example: crocusctl explain 4bf92f3577b34da6 --node 10.0.1.7:7103 --node 10.0.1.8:7103`
 
 type explainCommand struct {
 	OutputOptions
 	NodeOptions
+	Logs []string `long:"log" value-name:"FILE" description:"Read decision lines (JSON) from a log in place of the nodes, - for the standard input; repeat it for several"`
 	Args struct {
 		RequestID string `positional-arg-name:"REQUEST-ID" required:"yes"`
 	} `positional-args:"yes"`
@@ -40,6 +41,9 @@
 }
 
 func (c *explainCommand) run(ctx context.Context, env *environment) error {
+	if len(c.Logs) > 0 {
+		return c.runLogs(env)
+	}
 	addresses, err := c.addresses(ctx, env)
 	if err != nil {
 		return err
@@ -60,22 +64,44 @@
 	return nil
 }
 
+// runLogs explains a request by the logs of the nodes.
+func (c *explainCommand) runLogs(env *environment) error {
+	ds, err := readLogs(env, c.Logs, c.Args.RequestID)
+	if err != nil {
+		return exitf(exitUnreachable, "log: %v", err)
+	}
+	e := explanationOf(c.Args.RequestID, ds)
+	if err := c.write(env, e, e.table); err != nil {
+		return err
+	}
+	if len(e.Decisions) == 0 {
+		return exitError{code: exitFindings}
+	}
+	return nil
+}
+
 func explain(id string, replies []reply[[]recorder.Decision]) Explanation {
-	e := Explanation{Request: id}
+	var ds []NodeDecision
 	for _, r := range replies {
 		for _, d := range r.value {
-			e.Decisions = append(e.Decisions, NodeDecision{r.address, d})
+			ds = append(ds, NodeDecision{r.address, d})
 		}
 		// Nodes send the newest first; the stable sort below keeps the order of
 		// decisions with the same time.
-		slices.Reverse(e.Decisions[len(e.Decisions)-len(r.value):])
+		slices.Reverse(ds[len(ds)-len(r.value):])
 	}
-	slices.SortStableFunc(e.Decisions, func(a, b NodeDecision) int {
+	slices.SortStableFunc(ds, func(a, b NodeDecision) int {
 		return a.Decision.Time.Compare(b.Decision.Time)
 	})
+	return explanationOf(id, ds)
+}
+
+// explanationOf sums up decisions in the order of their times.
+func explanationOf(id string, ds []NodeDecision) Explanation {
+	e := Explanation{Request: id, Decisions: ds}
 	var reasons []resolver.Reason
 	for _, d := range e.Decisions {
-		if d.Decision.Kind == recorder.KindAnswer {
+		if d.Decision.Kind == recorder.KindAnswer && d.Decision.RequestID == id {
 			e.Outcome = recorder.OutcomeName(d.Decision.Outcome)
 		}
 		if r := d.Decision.Reason; r != resolver.ReasonNone && !slices.Contains(reasons, r) {
