composer: whole nodes against stand-ins of the platform

Ruled out: fakes below the store's client and the backend's: they would not see the protocol. Before: no such test.

--- /dev/null
+++ b/crocusd/internal/composer/node_test.go
@@ -0,0 +1,283 @@
+package composer
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"crocustack/core/configurer"
+	"crocustack/core/connector"
+	"crocustack/platform/standin"
+)
+
+const host = "a.example"
+
+// machine is one machine of the stand-in platform: a backend server and a node.
+type machine struct {
+	t       *testing.T
+	address string // IP address.
+	service string
+	backend *standin.Backend
+	// stop ends the node as SIGTERM does, and ended is closed when it has ended.
+	stop  context.CancelFunc
+	ended chan struct{}
+}
+
+// fleet is a running stand-in platform.
+type fleet struct {
+	t        *testing.T
+	store    *standin.Store
+	storeURL string
+	// ports are the same on all machines.
+	link, outbound, ready, admin, app string
+	machines                          []*machine
+	version                           int64
+}
+
+// freePorts returns ports that nothing listens on at the addresses.
+func freePorts(t *testing.T, n int) []string {
+	t.Helper()
+	var ports []string
+	for range n {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer func() { _ = l.Close() }()
+		_, port, _ := net.SplitHostPort(l.Addr().String())
+		ports = append(ports, port)
+	}
+	return ports
+}
+
+// newFleet starts a machine for each service in the list.
+func newFleet(t *testing.T, services ...string) *fleet {
+	t.Helper()
+	p := freePorts(t, 5)
+	f := &fleet{t: t, store: standin.NewStore(), link: p[0], outbound: p[1], ready: p[2], admin: p[3], app: p[4]}
+	server := httptest.NewServer(f.store)
+	t.Cleanup(server.Close)
+	f.storeURL = server.URL
+	f.publish(connector.Share{Service: services[0], Weight: 1})
+	for i, service := range services {
+		m := &machine{t: t, address: fmt.Sprintf("127.0.77.%d", i+1), service: service, backend: standin.NewBackend(fmt.Sprintf("i-%d", i+1))}
+		l, err := net.Listen("tcp", net.JoinHostPort(m.address, f.app))
+		if err != nil {
+			t.Skipf("no further loopback address: %v", err)
+		}
+		app := &http.Server{Handler: m.backend}
+		go func() { _ = app.Serve(l) }()
+		t.Cleanup(func() { _ = app.Close() })
+		f.machines = append(f.machines, m)
+		f.register(i, connector.Member{})
+		f.start(m)
+	}
+	for _, m := range f.machines {
+		f.eventually("a ready node at "+m.address, func() bool { return standin.Ready(net.JoinHostPort(m.address, f.ready)) })
+	}
+	f.eventually("an answer", func() bool { return f.get(0, "first").Status == http.StatusOK })
+	return f
+}
+
+// publish writes a configuration whose route goes to the services.
+func (f *fleet) publish(shares ...connector.Share) {
+	f.version++
+	f.store.Publish(connector.Config{
+		Version: f.version,
+		Routes: []connector.Route{
+			{Name: "read", Host: host, Prefix: "/read/", Idempotent: true, Timeout: 3 * time.Second, Objective: time.Second, MaxAttempts: 2, Shares: shares},
+			{Name: "write", Host: host, Prefix: "/write/", Timeout: 3 * time.Second, Objective: time.Second, MaxAttempts: 2, Shares: shares},
+		},
+		Services: map[string]connector.Service{"s": {Name: "s"}, "other": {Name: "other"}},
+	})
+}
+
+// register writes the entry of a machine's backend server; change holds what
+// differs from a ready one.
+func (f *fleet) register(i int, change connector.Member) {
+	m := f.machines[i]
+	entry := connector.Member{
+		Instance: fmt.Sprintf("i-%d", i+1), Service: m.service, Address: net.JoinHostPort(m.address, f.app), Domain: "d",
+		Slots: 20, Born: 1, Draining: change.Draining, Sequence: change.Sequence,
+	}
+	if change.Instance != "" {
+		entry.Instance, entry.Born = change.Instance, change.Born
+	}
+	f.store.Register(entry)
+}
+
+func (f *fleet) start(m *machine) {
+	f.t.Helper()
+	at := func(port string) string { return net.JoinHostPort(m.address, port) }
+	cfg := configurer.Defaults()
+	cfg.Node = configurer.Node{Service: m.service, Domain: "d", Region: "r", Link: at(f.link), Outbound: at(f.outbound), Ready: at(f.ready), Admin: at(f.admin)}
+	cfg.Backend.URL = "http://" + at(f.app)
+	cfg.Platform = configurer.Platform{URL: f.storeURL, Hosted: true, Bounds: []string{"grace=6s", "retryBudgetRatio=0.2", "retryBudgetSlack=40"}}
+	n, err := New(cfg, io.Discard)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	m.stop, m.ended = cancel, make(chan struct{})
+	go func() {
+		defer close(m.ended)
+		if err := n.Run(ctx); err != nil {
+			f.t.Errorf("node at %s: %v", m.address, err)
+		}
+	}()
+	f.t.Cleanup(func() {
+		cancel()
+		<-m.ended
+	})
+}
+
+func (f *fleet) eventually(what string, done func() bool) {
+	f.t.Helper()
+	for end := time.Now().Add(15 * time.Second); !done(); {
+		if time.Now().After(end) {
+			f.t.Fatalf("no %s within 15s", what)
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
+func (f *fleet) send(i int, q standin.Request) standin.Result {
+	q.Host, q.Budget = host, 3*time.Second
+	return standin.Send(context.Background(), net.JoinHostPort(f.machines[i].address, f.outbound), q)
+}
+
+func (f *fleet) get(i int, id string) standin.Result {
+	return f.send(i, standin.Request{ID: id, Method: http.MethodGet, Target: "/read/x?q=1"})
+}
+
+// ran counts the runs of a request over all backend servers.
+func (f *fleet) ran(id string) (runs []standin.Run) {
+	for _, m := range f.machines {
+		for _, r := range m.backend.Runs() {
+			if r.ID == id {
+				runs = append(runs, r)
+			}
+		}
+	}
+	return runs
+}
+
+// Guards against a request that is changed on its way, runs more than once or
+// names another caller than the service beside which it came in.
+func TestRequestReachesOneBackend(t *testing.T) {
+	f := newFleet(t, "s", "s", "other")
+	for i := range 20 {
+		id := fmt.Sprint("w-", i)
+		got := f.send(2, standin.Request{ID: id, Method: http.MethodPost, Target: "/write/a%2fb?q=1", Body: "body " + id})
+		if got.Status != http.StatusOK || !got.Proof {
+			t.Fatalf("%s: %+v", id, got)
+		}
+		want := []standin.Run{{ID: id, Method: "POST", Host: host, Target: "/write/a%2fb?q=1", Body: "body " + id, Caller: "other"}}
+		if d := cmp.Diff(want, f.ran(id)); d != "" {
+			t.Fatalf("-want +got:\n%s", d)
+		}
+	}
+}
+
+// Guards against a configuration that is not put in force, and against a route
+// that is answered 404 although it exists.
+func TestConfigurationFollowsTheStore(t *testing.T) {
+	f := newFleet(t, "s", "other")
+	f.publish(connector.Share{Service: "other", Weight: 1})
+	f.eventually("request at the new service", func() bool {
+		return f.get(0, "moved").Body == standin.Answer("i-2", "moved")
+	})
+	if got := f.send(0, standin.Request{ID: "none", Method: http.MethodGet, Target: "/none/"}); got.Status != http.StatusNotFound {
+		t.Errorf("a path without a route: %+v", got)
+	}
+}
+
+// Guards against work for a backend server whose entry says that it drains, or
+// is gone, and against work that ends with the store.
+func TestMembersFollowTheStore(t *testing.T) {
+	f := newFleet(t, "s", "s")
+	f.register(0, connector.Member{Draining: true, Sequence: 1})
+	f.eventually("drained member", func() bool {
+		for i := range 10 {
+			if f.get(0, fmt.Sprint("d-", i)).Body != standin.Answer("i-2", fmt.Sprint("d-", i)) {
+				return false
+			}
+		}
+		return true
+	})
+	f.store.SetDown(true)
+	if got := f.get(1, "down"); got.Status != http.StatusOK {
+		t.Errorf("without the store: %+v", got)
+	}
+	f.store.Compact()
+	f.store.SetDown(false)
+	f.register(0, connector.Member{Sequence: 2})
+	f.eventually("member that came back", func() bool {
+		return f.get(0, "back").Body == standin.Answer("i-1", "back")
+	})
+}
+
+// Guards against a request that is run by another instance than the one that was
+// chosen, where an address is used again before the members say so.
+func TestReplacedInstanceDoesNotRun(t *testing.T) {
+	f := newFleet(t, "s", "s")
+	f.machines[0].backend.Restart("i-new")
+	for i := range 10 {
+		id := fmt.Sprint("r-", i)
+		got := f.send(0, standin.Request{ID: id, Method: http.MethodPost, Target: "/write/x"})
+		switch {
+		case got.Status == http.StatusOK && got.Body == standin.Answer("i-2", id):
+		case got.Status == http.StatusServiceUnavailable && len(f.ran(id)) == 0:
+		default:
+			t.Errorf("%s: %+v, ran %d times", id, got, len(f.ran(id)))
+		}
+	}
+	f.store.Deregister("i-1")
+	f.register(0, connector.Member{Instance: "i-new", Born: 2})
+	f.eventually("request at the new instance", func() bool {
+		return f.get(0, "new").Body == standin.Answer("i-new", "new")
+	})
+}
+
+// Guards against requests that a planned stop cuts off, at the node that took
+// them and at the node beside their upstream, and against refusals of requests
+// that ran.
+func TestStopCutsNothing(t *testing.T) {
+	f := newFleet(t, "s", "s")
+	for _, m := range f.machines {
+		m.backend.Work = 300 * time.Millisecond
+	}
+	var wg sync.WaitGroup
+	for i := range 60 {
+		id := fmt.Sprint("p-", i)
+		entry := i % 2
+		wg.Go(func() {
+			got := f.send(entry, standin.Request{ID: id, Method: http.MethodPost, Target: "/write/x"})
+			runs := len(f.ran(id))
+			switch {
+			case got.Status == http.StatusOK && runs == 1:
+			case got.Status == http.StatusServiceUnavailable && runs == 0 && got.RetryAfter != "":
+			case got.Status == 0 && entry == 0 && runs == 0: // The node was gone.
+			default:
+				t.Errorf("%s through node %d: %+v, ran %d times", id, entry, got, runs)
+			}
+		})
+		if i == 20 {
+			f.machines[0].stop()
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	wg.Wait()
+	<-f.machines[0].ended
+	if got := f.get(1, "after"); got.Body != standin.Answer("i-2", "after") {
+		t.Errorf("after the stop: %+v", got)
+	}
+}
