router: a new instance begins without the failures of the old one

Cause: TestReplacedInstanceDoesNotRun failed once in three runs: no request reached the new instance at a known address within 15 s. Its predecessor's refusals stayed with the address, and of two upstreams the better one is always chosen under light load. Ruled out: the members (the entry was in force), a longer wait in the test. Conclusion: statistics belong to an instance, not to an address.

--- a/core/router/avoid_test.go
+++ b/core/router/avoid_test.go
@@ -87,7 +87,14 @@
 	if w := r.services["s"].known["a"].weight(11*time.Second, 3*time.Second); w != 1 {
 		t.Errorf("weight %v after the node restarted, want 1", w)
 	}
+	for range 20 {
+		r.Start(12*time.Second, "s", "a")
+		r.Finish(12*time.Second, "s", "a", Result{Failed: true})
+	}
 	r.SetUpstreams(12*time.Second, "s", []Upstream{{Service: "s", Address: "a", Domain: "d", Region: "r", Instance: "i-new"}})
+	if f := r.services["s"].known["a"].failures.value; f != 0 {
+		t.Errorf("a new instance begins with the failures of the old one: %v", f)
+	}
 	if w := r.services["s"].known["a"].weight(12*time.Second, 3*time.Second); w != minRamp {
 		t.Errorf("weight %v of a new instance, want %v", w, minRamp)
 	}
--- a/core/router/router.go
+++ b/core/router/router.go
@@ -91,7 +91,7 @@
 }
 
 // SetUpstreams replaces the list of a service's upstreams. What is known about
-// an upstream is kept while it is listed.
+// an upstream is kept while it is listed with the same instance.
 func (r *Router) SetUpstreams(now time.Duration, name string, us []Upstream) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -107,11 +107,9 @@
 			// At the start of the node every upstream is new to it, which says
 			// nothing about the upstreams.
 			st.rampFrom = now - r.cfg.SlowStart
-		} else if old, ok := before.known[u.Address]; ok {
+		} else if old, ok := before.known[u.Address]; ok && old.Instance == u.Instance {
+			// What was learned of an earlier instance says nothing about a new one.
 			st = old
-			if old.Instance != u.Instance {
-				st.rampFrom = now
-			}
 		}
 		st.Upstream = u
 		st.leavingUntil = r.leaving[u.Address]
--- a/crocusd/internal/composer/node_test.go
+++ b/crocusd/internal/composer/node_test.go
@@ -206,7 +206,8 @@
 	f := newFleet(t, "s", "s")
 	f.register(0, connector.Member{Draining: true, Sequence: 1})
 	f.eventually("drained member", func() bool {
-		for i := range 10 {
+		// By chance alone so many in a row are as good as impossible.
+		for i := range 40 {
 			if f.get(0, fmt.Sprint("d-", i)).Body != standin.Answer("i-2", fmt.Sprint("d-", i)) {
 				return false
 			}
@@ -253,12 +254,17 @@
 func TestStopCutsNothing(t *testing.T) {
 	f := newFleet(t, "s", "s")
 	for _, m := range f.machines {
-		m.backend.Work = 300 * time.Millisecond
+		m.backend.Work = 800 * time.Millisecond
 	}
 	var wg sync.WaitGroup
 	for i := range 60 {
 		id := fmt.Sprint("p-", i)
-		entry := i % 2
+		// What is in flight at the stopping node when it stops came from the other
+		// one, so that it can't be held up by requests of its own clients.
+		entry := 1
+		if i > 20 {
+			entry = i % 2
+		}
 		wg.Go(func() {
 			got := f.send(entry, standin.Request{ID: id, Method: http.MethodPost, Target: "/write/x"})
 			runs := len(f.ran(id))
