soaker: random faults against nodes of the users' platform

Ruled out: a second stand-in of the protocol: store, backend server and client are those of platform/standin. Before: faults ran against the project's own interfaces only.

--- a/Makefile
+++ b/Makefile
@@ -32,6 +32,9 @@
 capacity: build
 	bin/crocusfake capacity
 
-# A longer run over many seeds.
+# Longer runs over many seeds: nodes of the users' platform, then nodes with the
+# project's own interfaces.
+SEEDS ?= 50
 soak: build
+	bin/crocusfake soak --seed $(SEED) --seeds $(SEEDS)
 	for seed in $$(seq 1 20); do bin/crocusfake faults --seed $$seed || exit 1; done
--- a/crocusctl/internal/commander/logs.go
+++ b/crocusctl/internal/commander/logs.go
@@ -32,7 +32,7 @@
 }
 
 func readLog(env *environment, file, id string) ([]NodeDecision, error) {
-	var r io.Reader = env.stdin
+	r := env.stdin
 	if file != "-" {
 		f, err := os.Open(file)
 		if err != nil {
--- a/crocusd/internal/composer/composer.go
+++ b/crocusd/internal/composer/composer.go
@@ -1,6 +1,7 @@
 package composer
 
 import (
+	"cmp"
 	"context"
 	"crypto/rand"
 	"encoding/binary"
@@ -154,7 +155,7 @@
 func (n *Node) Run(ctx context.Context) error {
 	debug.SetGCPercent(gcPercent)
 	debug.SetMemoryLimit(softMemoryLimit)
-	link, err := net.Listen("tcp", n.cfg.Node.Link)
+	link, err := net.Listen("tcp", cmp.Or(n.cfg.Node.Listen, n.cfg.Node.Link))
 	if err != nil {
 		return errors.Wrap(err, "listen for links")
 	}
--- a/crocusfake/internal/commander/table.go
+++ b/crocusfake/internal/commander/table.go
@@ -25,7 +25,7 @@
 func table() []verb {
 	return []verb{
 		platformVerb, backendVerb, loadVerb,
-		demoVerb, overloadVerb, hopVerb, drainVerb, releaseVerb, faultsVerb, capacityVerb,
+		demoVerb, overloadVerb, hopVerb, drainVerb, releaseVerb, faultsVerb, soakVerb, capacityVerb,
 	}
 }
 
--- /dev/null
+++ b/crocusfake/internal/soaker/fleet.go
@@ -0,0 +1,237 @@
+package soaker
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"crocustack/core/connector"
+	"crocustack/crocusfake/internal/relayer"
+	"crocustack/platform/standin"
+)
+
+// Names of the stand-in platform.
+const (
+	host    = "soak.example"
+	service = "soaked"
+)
+
+// ports are the same on all machines.
+type ports struct{ link, listen, outbound, ready, admin, app string }
+
+// machine is one machine: a backend server, a node and the relay of its links.
+type machine struct {
+	address string // IP address.
+	backend *standin.Backend
+	relay   *relayer.Relay
+	dir     string
+
+	mu sync.Mutex
+	// entry is what the store holds of the backend server.
+	entry connector.Member
+	cmd   *exec.Cmd
+	ended chan struct{}
+	// stopping is true when the process was asked to end, so that its end is no
+	// fault of its own.
+	stopping bool
+}
+
+// fleet is the running platform.
+type fleet struct {
+	binary   string
+	store    *standin.Store
+	storeURL string
+	ports    ports
+	machines []*machine
+	closers  []func()
+
+	mu sync.Mutex
+	// version is that of the configuration published last.
+	version int64
+	// failures holds the ends of processes that nobody asked for.
+	failures []string
+}
+
+func newFleet(binary, dir string, n int) (*fleet, error) {
+	f := &fleet{binary: binary, store: standin.NewStore()}
+	storeListener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, errors.Wrap(err, "listen for the store")
+	}
+	f.serve(storeListener, f.store)
+	f.storeURL = "http://" + storeListener.Addr().String()
+	if f.ports, err = freePorts(); err != nil {
+		return nil, err
+	}
+	f.publish()
+	for i := range n {
+		if err := f.addMachine(i, dir); err != nil {
+			return nil, err
+		}
+	}
+	return f, nil
+}
+
+func (f *fleet) serve(l net.Listener, h http.Handler) {
+	s := &http.Server{Handler: h, ReadHeaderTimeout: 10 * time.Second}
+	go func() { _ = s.Serve(l) }()
+	f.closers = append(f.closers, func() { _ = s.Close() })
+}
+
+func freePorts() (ports, error) {
+	var found []string
+	for range 6 {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return ports{}, errors.Wrap(err, "find a free port")
+		}
+		defer func() { _ = l.Close() }()
+		_, port, err := net.SplitHostPort(l.Addr().String())
+		if err != nil {
+			return ports{}, errors.Wrap(err, "find a free port")
+		}
+		found = append(found, port)
+	}
+	return ports{found[0], found[1], found[2], found[3], found[4], found[5]}, nil
+}
+
+func (f *fleet) addMachine(i int, dir string) error {
+	m := &machine{address: fmt.Sprintf("127.0.88.%d", i+1), dir: filepath.Join(dir, fmt.Sprint("machine-", i+1))}
+	if err := os.MkdirAll(m.dir, 0o700); err != nil {
+		return errors.Wrap(err, "machine")
+	}
+	instance := fmt.Sprintf("i-%d-1", i+1)
+	m.backend = standin.NewBackend(instance)
+	m.backend.Work = 10 * time.Millisecond
+	l, err := net.Listen("tcp", net.JoinHostPort(m.address, f.ports.app))
+	if err != nil {
+		return errors.Wrap(err, "listen for the backend server")
+	}
+	f.serve(l, m.backend)
+	if m.relay, err = relayer.New(net.JoinHostPort(m.address, f.ports.link), net.JoinHostPort(m.address, f.ports.listen)); err != nil {
+		return err
+	}
+	f.closers = append(f.closers, m.relay.Close)
+	m.entry = connector.Member{
+		Instance: instance, Service: service, Address: net.JoinHostPort(m.address, f.ports.app),
+		Domain: fmt.Sprint("d", i%2), Slots: 20, Born: 1, Sequence: 1,
+	}
+	f.store.Register(m.entry)
+	f.machines = append(f.machines, m)
+	if err := os.WriteFile(m.settings(), f.settings(m), 0o600); err != nil {
+		return errors.Wrap(err, "settings")
+	}
+	return f.start(m)
+}
+
+func (m *machine) settings() string { return filepath.Join(m.dir, "node.yaml") }
+
+func (f *fleet) settings(m *machine) []byte {
+	at := func(port string) string { return net.JoinHostPort(m.address, port) }
+	return fmt.Appendf(nil, `Node: {Service: %s, Domain: %s, Region: r, Link: "%s", Listen: "%s", Outbound: "%s", Ready: "%s", Admin: "%s"}
+Backend: {URL: "http://%s"}
+Platform: {Hosted: true, URL: "%s", Bounds: ["grace=6s", "retryBudgetRatio=0.2", "retryBudgetSlack=40"]}
+Timing: {SilentAfter: 150ms, AbandonAfter: 350ms}
+`, service, m.entry.Domain, at(f.ports.link), at(f.ports.listen), at(f.ports.outbound), at(f.ports.ready), at(f.ports.admin), at(f.ports.app), f.storeURL)
+}
+
+// start starts the node of a machine and watches for its end.
+func (f *fleet) start(m *machine) error {
+	log, err := os.OpenFile(filepath.Join(m.dir, "node.log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return errors.Wrap(err, "log")
+	}
+	defer func() { _ = log.Close() }()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.cmd, m.ended, m.stopping = exec.Command(f.binary, "--settings", m.settings()), make(chan struct{}), false
+	m.cmd.Stdout, m.cmd.Stderr = log, log
+	if err := m.cmd.Start(); err != nil {
+		return errors.Wrap(err, "start node")
+	}
+	go f.wait(m, m.cmd, m.ended)
+	return nil
+}
+
+func (f *fleet) wait(m *machine, cmd *exec.Cmd, ended chan struct{}) {
+	err := cmd.Wait()
+	m.mu.Lock()
+	asked := m.stopping
+	m.mu.Unlock()
+	if !asked {
+		f.mu.Lock()
+		f.failures = append(f.failures, fmt.Sprintf("the node at %s ended by itself: %v", m.address, err))
+		f.mu.Unlock()
+	}
+	close(ended)
+}
+
+// signal sends a signal to the node's process. Signals that end it are noted.
+func (m *machine) signal(s syscall.Signal) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if s == syscall.SIGKILL || s == syscall.SIGTERM {
+		m.stopping = true
+	}
+	_ = m.cmd.Process.Signal(s) // It may have ended already.
+}
+
+// restart ends the node by a signal and starts it again after a pause.
+func (f *fleet) restart(m *machine, s syscall.Signal, pause time.Duration) error {
+	m.signal(s)
+	<-m.ended
+	time.Sleep(pause)
+	return f.start(m)
+}
+
+// publish writes the next configuration, with a route that only it has.
+func (f *fleet) publish() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.version++
+	f.store.Publish(connector.Config{
+		Version: f.version,
+		Routes: []connector.Route{
+			f.route("read", true), f.route("write", false),
+			{Name: "v", Host: host, Prefix: fmt.Sprintf("/version/%d/", f.version), Idempotent: true, Timeout: time.Second, MaxAttempts: 1, Shares: shares()},
+		},
+		Services: map[string]connector.Service{service: {Name: service}},
+	})
+}
+
+func (f *fleet) route(name string, idempotent bool) connector.Route {
+	return connector.Route{
+		Name: name, Host: host, Prefix: "/" + name + "/", Idempotent: idempotent, Timeout: 3 * time.Second,
+		Objective: time.Second, MaxAttempts: 2, Shares: shares(),
+	}
+}
+
+func shares() []connector.Share { return []connector.Share{{Service: service, Weight: 1}} }
+
+// register changes the entry of a backend server.
+func (f *fleet) register(m *machine, change func(*connector.Member)) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.entry.Sequence++
+	change(&m.entry)
+	f.store.Register(m.entry)
+}
+
+// close ends all processes that the fleet started.
+func (f *fleet) close() {
+	for _, m := range f.machines {
+		m.signal(syscall.SIGKILL)
+		<-m.ended
+	}
+	for _, c := range f.closers {
+		c()
+	}
+}
--- /dev/null
+++ b/crocusfake/internal/soaker/judge.go
@@ -0,0 +1,118 @@
+package soaker
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"crocustack/platform/standin"
+)
+
+// exchanged is one request and what its client got.
+type exchanged struct {
+	request standin.Request
+	begin   time.Time
+	result  standin.Result
+}
+
+// judge collects what clients see. It is safe for concurrent use.
+type judge struct {
+	mu       sync.Mutex
+	seen     map[string]exchanged
+	breaches []string
+}
+
+func newJudge() *judge { return &judge{seen: make(map[string]exchanged)} }
+
+// exchange sends one request through the node of a machine.
+func (j *judge) exchange(f *fleet, m *machine, q standin.Request) {
+	begin := time.Now()
+	// The client waits a little longer than it says, so that an answer at the
+	// last moment is seen.
+	ctx, cancel := context.WithTimeout(context.Background(), q.Budget+time.Second)
+	defer cancel()
+	r := standin.Send(ctx, net.JoinHostPort(m.address, f.ports.outbound), q)
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.seen[q.ID] = exchanged{request: q, begin: begin, result: r}
+}
+
+// report judges the run by the records of the backend servers.
+func (j *judge) report(f *fleet, calmFrom time.Time) Report {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	runs := make(map[string]int)
+	for _, m := range f.machines {
+		for _, r := range m.backend.Runs() {
+			runs[r.ID]++
+			j.checkRun(r)
+		}
+	}
+	report := Report{Requests: len(j.seen)}
+	calm, calmServed := 0, 0
+	for id, x := range j.seen {
+		j.checkResult(x, runs[id])
+		served := x.result.Status == http.StatusOK
+		if served {
+			report.Served++
+		}
+		if x.begin.After(calmFrom) {
+			calm++
+			if served {
+				calmServed++
+			}
+		}
+	}
+	if calm > 0 {
+		report.CalmShare = float64(calmServed) / float64(calm)
+	}
+	if report.CalmShare < servedShare {
+		j.breach("%.3f of %d requests served %v after the last fault, want %.2f", report.CalmShare, calm, settle, servedShare)
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	report.Breaches = append(j.breaches, f.failures...)
+	return report
+}
+
+func (j *judge) breach(format string, args ...any) {
+	j.breaches = append(j.breaches, fmt.Sprintf(format, args...))
+}
+
+// checkRun compares a run with the request that its client sent.
+func (j *judge) checkRun(r standin.Run) {
+	x, ok := j.seen[r.ID]
+	switch {
+	case !ok:
+		j.breach("%s ran and no client sent it", r.ID)
+	case r.Method != x.request.Method || r.Target != x.request.Target || r.Body != x.request.Body || r.Host != host:
+		j.breach("%s ran as %+v", r.ID, r)
+	case r.Caller != service:
+		j.breach("%s ran for the caller %q", r.ID, r.Caller)
+	}
+}
+
+// checkResult compares what a client got with how often its request ran.
+func (j *judge) checkResult(x exchanged, runs int) {
+	id, r := x.request.ID, x.result
+	if x.request.Method == http.MethodPost && runs > 1 {
+		j.breach("%s must not run twice and ran %d times", id, runs)
+	}
+	switch r.Status {
+	case http.StatusOK:
+		if !r.Proof || !strings.HasSuffix(r.Body, standin.Answer("", id)) || runs == 0 {
+			j.breach("%s got %+v and ran %d times", id, r, runs)
+		}
+	case http.StatusServiceUnavailable, http.StatusTooManyRequests:
+		if runs > 0 {
+			j.breach("%s was told that it didn't run (%d) and ran %d times", id, r.Status, runs)
+		}
+	case 0, http.StatusBadGateway, http.StatusGatewayTimeout:
+	default:
+		j.breach("%s got status %d", id, r.Status)
+	}
+}
--- /dev/null
+++ b/crocusfake/internal/soaker/soaker.go
@@ -0,0 +1,158 @@
+package soaker
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"crocustack/platform/standin"
+)
+
+// Config says what to run.
+type Config struct {
+	Binary   string // Path of crocusd.
+	Seed     uint64
+	Machines int
+	// Length is the time in which faults begin.
+	Length time.Duration
+	// Rate is the number of requests a second.
+	Rate int
+}
+
+const (
+	// budget is how long a client waits.
+	budget = 3 * time.Second
+	// settle is the time after the last fault until service must be back, and
+	// calm how long it is then watched.
+	settle = 5 * time.Second
+	calm   = 3 * time.Second
+	// servedShare is the part of the requests that must be served then.
+	servedShare = 0.99
+	// startTimeout bounds the start of the nodes.
+	startTimeout = 20 * time.Second
+)
+
+// Report is the result of a run.
+type Report struct {
+	Seed             uint64
+	Faults, Requests int
+	Served           int
+	// CalmShare is the served part of the requests after the last fault.
+	CalmShare float64
+	Breaches  []string
+	// Logs is the directory with settings and logs of the nodes; it is kept when
+	// there are breaches.
+	Logs string
+}
+
+// Run runs one seed.
+func Run(ctx context.Context, cfg Config, out io.Writer) (Report, error) {
+	dir, err := os.MkdirTemp("", "crocus-soak-")
+	if err != nil {
+		return Report{}, errors.Wrap(err, "directory for logs")
+	}
+	f, err := newFleet(cfg.Binary, dir, cfg.Machines)
+	if f != nil {
+		defer f.close()
+	}
+	if err != nil {
+		return Report{}, err
+	}
+	if err := f.ready(ctx); err != nil {
+		return Report{}, errors.Wrapf(err, "logs in %s", dir)
+	}
+	j := newJudge()
+	clients, stop := context.WithCancel(ctx)
+	defer stop()
+	var wg sync.WaitGroup
+	wg.Go(func() { f.load(clients, cfg, j) })
+	err = f.inject(ctx, cfg, out)
+	time.Sleep(settle)
+	calmFrom := time.Now()
+	time.Sleep(calm)
+	stop()
+	wg.Wait()
+	report := j.report(f, calmFrom)
+	report.Seed, report.Faults, report.Logs = cfg.Seed, len(schedule(cfg.Seed, cfg.Machines, cfg.Length)), dir
+	if len(report.Breaches) == 0 && err == nil {
+		err = os.RemoveAll(dir)
+	}
+	return report, err
+}
+
+// ready waits until all nodes want requests.
+func (f *fleet) ready(ctx context.Context) error {
+	deadline := time.Now().Add(startTimeout)
+	for _, m := range f.machines {
+		for !standin.Ready(net.JoinHostPort(m.address, f.ports.ready)) {
+			if ctx.Err() != nil || time.Now().After(deadline) {
+				return errors.Newf("the node at %s is not ready within %v", m.address, startTimeout)
+			}
+			time.Sleep(50 * time.Millisecond)
+		}
+	}
+	return nil
+}
+
+// inject runs the schedule and waits until every fault is undone. Faults of one
+// machine follow each other; those of different machines overlap.
+func (f *fleet) inject(ctx context.Context, cfg Config, out io.Writer) error {
+	begin := time.Now()
+	queues := make([][]planned, cfg.Machines)
+	for _, p := range schedule(cfg.Seed, cfg.Machines, cfg.Length) {
+		queues[p.target] = append(queues[p.target], p)
+	}
+	errs := make([]error, cfg.Machines)
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	for i, queue := range queues {
+		wg.Go(func() {
+			for _, p := range queue {
+				time.Sleep(time.Until(begin.Add(p.at)))
+				if ctx.Err() != nil {
+					return
+				}
+				mu.Lock()
+				_, _ = fmt.Fprintf(out, "%8.3f %s at %s for %v\n", time.Since(begin).Seconds(), p.fault.name, f.machines[i].address, p.lasts.Round(time.Millisecond))
+				mu.Unlock()
+				if err := p.fault.run(f, f.machines[i], p.lasts); err != nil {
+					errs[i] = errors.Wrap(err, p.fault.name)
+					return
+				}
+			}
+		})
+	}
+	wg.Wait()
+	return errors.Join(errs...)
+}
+
+// load sends requests at a steady rate through all nodes until ctx ends, and
+// waits for their answers.
+func (f *fleet) load(ctx context.Context, cfg Config, j *judge) {
+	rng := rand.New(rand.NewPCG(cfg.Seed, 2))
+	ticker := time.NewTicker(time.Second / time.Duration(cfg.Rate))
+	defer ticker.Stop()
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	for n := 0; ; n++ {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		q := standin.Request{ID: fmt.Sprintf("%016x", n), Method: http.MethodGet, Host: host, Target: "/read/x", Budget: budget}
+		if rng.IntN(2) == 0 {
+			q.Method, q.Target, q.Body = http.MethodPost, "/write/x", "body of "+q.ID
+		}
+		m := f.machines[rng.IntN(len(f.machines))]
+		wg.Go(func() { j.exchange(f, m, q) })
+	}
+}
