commander, soaker: SIGHUP is caught from the start of main

Before: caught from the first settings on. After: caught from the start of main; the soak starts a node that ended by itself again, as the platform does. Conclusion: the window is the start of the runtime.

--- a/crocusctl/internal/commander/logs.go
+++ b/crocusctl/internal/commander/logs.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"io"
 	"os"
 	"slices"
 	"strings"
--- a/crocusd/internal/commander/reloader.go
+++ b/crocusd/internal/commander/reloader.go
@@ -19,26 +19,33 @@
 type reloader struct {
 	file string
 	node node
+	hup  <-chan os.Signal
 	// last is the content that was read last, valid or not.
 	last []byte
 }
 
-func newReloader(file string, b []byte, n node) *reloader {
-	return &reloader{file: file, node: n, last: b}
+func newReloader(file string, b []byte, n node, hup <-chan os.Signal) *reloader {
+	return &reloader{file: file, node: n, hup: hup, last: b}
 }
 
-// run reloads until ctx ends. SIGHUP stays caught after that: its default action
-// would end a process that is still finishing requests.
-func (r *reloader) run(ctx context.Context) {
+// catchHangup keeps SIGHUP from ending the process, from the start of the program
+// to its end: its default action would end a process that is starting, or that is
+// still finishing requests.
+func catchHangup() <-chan os.Signal {
 	hup := make(chan os.Signal, 1)
 	signal.Notify(hup, syscall.SIGHUP)
+	return hup
+}
+
+// run reloads until ctx ends.
+func (r *reloader) run(ctx context.Context) {
 	ticker := time.NewTicker(reloadInterval)
 	defer ticker.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-hup:
+		case <-r.hup:
 		case <-ticker.C:
 		}
 		r.reload()
--- a/crocusfake/internal/soaker/fleet.go
+++ b/crocusfake/internal/soaker/fleet.go
@@ -8,6 +8,7 @@
 	"os/exec"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -52,6 +53,8 @@
 	ports    ports
 	machines []*machine
 	closers  []func()
+	// closing is true once the run is over.
+	closing atomic.Bool
 
 	mu sync.Mutex
 	// version is that of the configuration published last.
@@ -152,6 +155,9 @@
 	defer func() { _ = log.Close() }()
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if m.running() {
+		return nil // The platform, or a fault, has started it meanwhile.
+	}
 	m.cmd, m.ended, m.stopping = exec.Command(f.binary, "--settings", m.settings()), make(chan struct{}), false
 	m.cmd.Stdout, m.cmd.Stderr = log, log
 	if err := m.cmd.Start(); err != nil {
@@ -161,6 +167,25 @@
 	return nil
 }
 
+// running tells whether the node's process has been started and not ended. The
+// caller holds mu.
+func (m *machine) running() bool {
+	if m.ended == nil {
+		return false
+	}
+	select {
+	case <-m.ended:
+		return false
+	default:
+		return true
+	}
+}
+
+// platformRestart is how long after its end the platform starts a process again.
+const platformRestart = time.Second
+
+// wait notes the end of a process. One that ended by itself is started again, as
+// the platform does.
 func (f *fleet) wait(m *machine, cmd *exec.Cmd, ended chan struct{}) {
 	err := cmd.Wait()
 	m.mu.Lock()
@@ -172,12 +197,25 @@
 		f.mu.Unlock()
 	}
 	close(ended)
+	if asked || f.closing.Load() {
+		return
+	}
+	time.Sleep(platformRestart)
+	if err := f.start(m); err != nil {
+		f.mu.Lock()
+		f.failures = append(f.failures, err.Error())
+		f.mu.Unlock()
+	}
 }
 
-// signal sends a signal to the node's process. Signals that end it are noted.
+// signal sends a signal to the node's process, if it runs. Signals that end it
+// are noted.
 func (m *machine) signal(s syscall.Signal) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if !m.running() {
+		return
+	}
 	if s == syscall.SIGKILL || s == syscall.SIGTERM {
 		m.stopping = true
 	}
@@ -227,6 +265,7 @@
 
 // close ends all processes that the fleet started.
 func (f *fleet) close() {
+	f.closing.Store(true)
 	for _, m := range f.machines {
 		m.signal(syscall.SIGKILL)
 		<-m.ended
