--- a/core/gatekeeper/sequencer.go
+++ b/core/gatekeeper/sequencer.go
@@ -1,6 +1,10 @@
 package gatekeeper
 
-import "sync"
+import (
+	"crypto/rand"
+	"encoding/binary"
+	"sync"
+)
 
 // Sequencer hands out the attempt sequences of one sender incarnation. It is
 // safe for concurrent use. Use NewSequencer.
@@ -52,3 +56,10 @@
 	defer s.mu.Unlock()
 	return s.below
 }
+
+// NewBootID returns the random id of an incarnation; never 0, which means none.
+func NewBootID() uint64 {
+	var b [8]byte
+	_, _ = rand.Read(b[:]) // Never fails.
+	return binary.LittleEndian.Uint64(b[:]) | 1
+}
--- a/crocusd/internal/composer/composer.go
+++ b/crocusd/internal/composer/composer.go
@@ -3,8 +3,6 @@
 import (
 	"cmp"
 	"context"
-	"crypto/rand"
-	"encoding/binary"
 	"io"
 	"net"
 	"net/http"
@@ -114,7 +112,7 @@
 	}
 	n := &Node{
 		cfg: cfg, log: program, flushLog: lines.Close, clock: timekeeper.NewClock(),
-		self:     gatekeeper.Incarnation{Service: cfg.Node.Service, Address: cfg.Node.Link, BootID: newBootID()},
+		self:     gatekeeper.Incarnation{Service: cfg.Node.Service, Address: cfg.Node.Link, BootID: gatekeeper.NewBootID()},
 		linkPort: port, backendHost: host, regions: regionsOf(cfg.Platform.Regions), news: newNews(),
 		store: platform.NewStore(hostOf(cfg.Platform.URL)), backend: platform.NewBackend(hostOf(cfg.Backend.URL)),
 	}
@@ -145,12 +143,6 @@
 	n.dispatch = dispatcher.New(n.forward, runs, n.rec)
 }
 
-func newBootID() uint64 {
-	var b [8]byte
-	_, _ = rand.Read(b[:])
-	return binary.LittleEndian.Uint64(b[:]) | 1 // Zero means "no incarnation".
-}
-
 // Run serves until ctx ends, then stops gracefully.
 func (n *Node) Run(ctx context.Context) error {
 	debug.SetGCPercent(gcPercent)
@@ -218,16 +210,16 @@
 	defer cancel()
 	n.dispatch.Leave()
 	n.announce()
-	sleep(ctx, noticeTime)
+	timekeeper.Sleep(ctx, noticeTime)
 	n.dispatch.Close()
 	n.handler.Leave()
 	for ctx.Err() == nil && (n.handler.Active() > 0 || n.dispatch.Active() > 0) {
-		sleep(ctx, stopPoll)
+		timekeeper.Sleep(ctx, stopPoll)
 	}
 	if err := outbound.Shutdown(ctx); err != nil {
 		n.log.Error(err, "requests cut off at the end of the grace time", "Active", n.dispatch.Active())
 	}
-	sleep(ctx, linker.Linger)
+	timekeeper.Sleep(ctx, linker.Linger)
 	n.log.Info("drain ended", "Active", n.handler.Active())
 }
 
@@ -240,15 +232,6 @@
 	}
 }
 
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
-
 // regionsOf reads texts of the form domain=region.
 func regionsOf(texts []string) map[string]string {
 	regions := make(map[string]string, len(texts))
--- a/crocusd/internal/composer/follow.go
+++ b/crocusd/internal/composer/follow.go
@@ -14,6 +14,7 @@
 	"crocustack/core/observer"
 	"crocustack/core/releaser"
 	"crocustack/core/router"
+	"crocustack/core/timekeeper"
 )
 
 const (
@@ -43,13 +44,13 @@
 		if f.step(ctx) {
 			failures = 0
 			if before > 0 && f.revision != before {
-				sleep(ctx, gatherTime)
+				timekeeper.Sleep(ctx, gatherTime)
 			}
 			continue
 		}
 		pause := min(minPause<<min(failures, 8), maxPause)
 		failures++
-		sleep(ctx, pause/2+time.Duration(rand.Int64N(int64(pause))))
+		timekeeper.Sleep(ctx, pause/2+time.Duration(rand.Int64N(int64(pause))))
 		f.expire()
 	}
 }
--- a/crocusd/internal/composer/news.go
+++ b/crocusd/internal/composer/news.go
@@ -4,6 +4,8 @@
 	"context"
 	"sync/atomic"
 	"time"
+
+	"crocustack/core/timekeeper"
 )
 
 // newsDelay is how much later than a peer a node may read a change of the store
@@ -42,7 +44,7 @@
 func (w *news) behind(ctx context.Context, revision int64) bool {
 	for {
 		if w.highest.Load() > revision {
-			sleep(ctx, newsDelay)
+			timekeeper.Sleep(ctx, newsDelay)
 			return ctx.Err() == nil
 		}
 		select {
--- a/crocusd/internal/handler/backend.go
+++ b/crocusd/internal/handler/backend.go
@@ -119,20 +119,12 @@
 	return req, nil
 }
 
-// hopByHop holds the headers that concern one connection only (RFC 9110,
-// section 7.6.1).
-var hopByHop = map[string]bool{
-	"Connection": true, "Keep-Alive": true, "Proxy-Authenticate": true, "Proxy-Authorization": true,
-	"Proxy-Connection": true, "Te": true, "Trailer": true, "Transfer-Encoding": true, "Upgrade": true,
-	"Content-Length": true,
-}
-
 // PassedHeaders converts headers for a message and leaves out those of one
 // connection and those that this system sets itself.
 func PassedHeaders(hs http.Header) []*encoder.Header {
 	out := make([]*encoder.Header, 0, len(hs))
 	for name, values := range hs {
-		if hopByHop[name] || strings.HasPrefix(name, "Crocus-") {
+		if connector.HopByHop(name) || strings.HasPrefix(name, "Crocus-") {
 			continue
 		}
 		out = append(out, &encoder.Header{Name: name, Values: values})
--- a/crocusd/internal/runner/runner.go
+++ b/crocusd/internal/runner/runner.go
@@ -3,8 +3,6 @@
 import (
 	"cmp"
 	"context"
-	"crypto/rand"
-	"encoding/binary"
 	"fmt"
 	"io"
 	"net"
@@ -85,7 +83,7 @@
 	}
 	n := &Node{
 		cfg: cfg, log: program, flushLog: lines.Close, clock: timekeeper.NewClock(), started: time.Now(), drain: make(chan struct{}),
-		self: gatekeeper.Incarnation{Service: cfg.Node.Service, Address: cfg.Node.Link, BootID: newBootID()},
+		self: gatekeeper.Incarnation{Service: cfg.Node.Service, Address: cfg.Node.Link, BootID: gatekeeper.NewBootID()},
 	}
 	n.rec = recorder.New(decisions, recentDecisions)
 	n.levels = admitter.NewLevels()
@@ -121,12 +119,6 @@
 	return n, nil
 }
 
-func newBootID() uint64 {
-	var b [8]byte
-	_, _ = rand.Read(b[:])
-	return binary.LittleEndian.Uint64(b[:]) | 1 // Zero means "no incarnation".
-}
-
 func (n *Node) view() releaser.View { return n.sync.Snapshot().View }
 
 // Ready tells whether the node serves requests.
@@ -202,7 +194,7 @@
 		if ctx.Err() != nil {
 			return false
 		}
-		sleep(ctx, findInterval)
+		timekeeper.Sleep(ctx, findInterval)
 	}
 	return true
 }
@@ -292,7 +284,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), n.cfg.DrainTimeout)
 	defer cancel()
 	n.server.Leave()
-	sleep(ctx, leaveNotice)
+	timekeeper.Sleep(ctx, leaveNotice)
 	if err := entry.Shutdown(ctx); err != nil {
 		n.log.Error(err, "entry requests cut off by the drain timeout", "Active", n.server.Active())
 	}
@@ -300,20 +292,10 @@
 		n.log.Error(err, "runs cut off by the drain timeout", "Active", n.handler.Active())
 	}
 	_ = outbound.Shutdown(ctx)
-	sleep(ctx, linker.Linger)
+	timekeeper.Sleep(ctx, linker.Linger)
 	n.log.Info("drain ended")
 }
 
-// sleep waits for d or until ctx ends.
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
-
 // waitForRuns returns when no request is at the gate.
 func (n *Node) waitForRuns(ctx context.Context) error {
 	ticker := time.NewTicker(10 * time.Millisecond)
