--- a/crocusd/internal/handler/handler.go
+++ b/crocusd/internal/handler/handler.go
@@ -277,8 +277,6 @@
 func (h *Handler) admit(ctx context.Context, s *linker.Stream, m *encoder.Run, body []byte, gone <-chan struct{}) {
 	waitCtx, cancelWait := context.WithCancel(ctx)
 	defer cancelWait()
-	stop := context.AfterFunc(ctx, cancelWait)
-	defer stop()
 	admitted := make(chan struct{})
 	go func() {
 		select {
@@ -334,10 +332,11 @@
 }
 
 // levelOf is the effective admission level for a kind: what a new tree of the
-// kind must reach here and in every service that its runs call.
-func (h *Handler) levelOf(kind string) uint32 {
+// kind must reach here, where the level is own, and in every service that its
+// runs call.
+func (h *Handler) levelOf(kind string, own uint32) uint32 {
 	now := h.clock.Now()
-	level := h.adm.load().Level
+	level := own
 	for _, c := range h.calls.Of(now, kind) {
 		level = max(level, h.levels.Effective(now, c.Service, c.Kind))
 	}
@@ -348,7 +347,7 @@
 	ld := h.adm.load()
 	return &encoder.Load{
 		InFlight: uint32(ld.InFlight), Queued: uint32(ld.Queued), Limit: uint32(ld.Limit),
-		Level: h.levelOf(kind), Draining: h.Draining(), Revision: h.revision.Load(),
+		Level: h.levelOf(kind, ld.Level), Draining: h.Draining(), Revision: h.revision.Load(),
 	}
 }
 
@@ -367,17 +366,9 @@
 		kind = recorder.KindShed
 	}
 	h.record(m, kind, resolver.NotRun{Reason: reason}, "")
-	var ticket *encoder.Ticket
-	if reason == resolver.ReasonTicketRequired {
-		h.gateMu.Lock()
-		if ts := h.gate.Mint(h.clock.Now(), m.GetKind(), 1); len(ts) == 1 {
-			ticket = ts[0].Message()
-		}
-		h.gateMu.Unlock()
-	}
 	_ = s.Send(&encoder.Answer{
 		Id: m.GetId(), Outcome: encoder.Outcome_OUTCOME_NOT_RUN, Reason: uint32(reason),
-		Unspent: unspent, Load: h.loadMessage(m.GetKind()), Ticket: ticket, Responder: IncarnationMessage(h.self),
+		Unspent: unspent, Load: h.loadMessage(m.GetKind()), Responder: IncarnationMessage(h.self),
 	})
 }
 
