prover, soaker: wait for batched log lines; ports outside the ephemeral range

Ruled out: lines that are lost (all eight nodes had the note; the check is the same, awaited with the patience of the others).

--- a/crocusfake/internal/prover/release_test.go
+++ b/crocusfake/internal/prover/release_test.go
@@ -89,14 +89,15 @@
 		return true
 	})
 	f.t.Logf("same catalogue on %d nodes %v after the last step", len(f.nodes), time.Since(began).Round(time.Millisecond))
-	lines := 0
-	for _, n := range f.nodes {
-		lines += f.requireForward(n)
-	}
-	// One line for the first note on each node, and one for a later note.
-	if lines <= len(f.nodes) {
-		f.t.Errorf("%d log lines of notes in force on %d nodes", lines, len(f.nodes))
-	}
+	// One line for the first note on each node, and one for a later note. Nodes
+	// write their lines in batches, so the last ones come a moment later.
+	eventually(f.t, "log lines of the notes in force", func() bool {
+		lines := 0
+		for _, n := range f.nodes {
+			lines += f.requireForward(n)
+		}
+		return lines > len(f.nodes)
+	})
 }
 
 // requireForward checks the log of one node and returns the number of lines
--- a/crocusfake/internal/soaker/fleet.go
+++ b/crocusfake/internal/soaker/fleet.go
@@ -7,6 +7,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -89,21 +90,38 @@
 	f.closers = append(f.closers, func() { _ = s.Close() })
 }
 
+const (
+	// Ports are taken between firstPort and lastPort, below those that the kernel
+	// gives to outgoing connections: one of these could otherwise hold the port
+	// of a node that is being restarted.
+	firstPort, lastPort = 20000, 30000
+	// portStep is the number of ports that one run takes.
+	portStep = 6
+)
+
+// freePorts returns ports that nothing listens on. Runs at the same time begin
+// their search at different places.
 func freePorts() (ports, error) {
-	var found []string
-	for range 6 {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			return ports{}, errors.Wrap(err, "find a free port")
+	count := (lastPort - firstPort) / portStep
+	for i := range count {
+		base := firstPort + (os.Getpid()+i)%count*portStep
+		if free(base) {
+			at := func(n int) string { return strconv.Itoa(base + n) }
+			return ports{at(0), at(1), at(2), at(3), at(4), at(5)}, nil
 		}
-		defer func() { _ = l.Close() }()
-		_, port, err := net.SplitHostPort(l.Addr().String())
+	}
+	return ports{}, errors.Newf("no %d free ports in a row from %d to %d", portStep, firstPort, lastPort)
+}
+
+func free(base int) bool {
+	for n := range portStep {
+		l, err := net.Listen("tcp", fmt.Sprintf(":%d", base+n))
 		if err != nil {
-			return ports{}, errors.Wrap(err, "find a free port")
+			return false
 		}
-		found = append(found, port)
+		_ = l.Close()
 	}
-	return ports{found[0], found[1], found[2], found[3], found[4], found[5]}, nil
+	return true
 }
 
 func (f *fleet) addMachine(i int, dir string) error {
