crocusd: catch SIGHUP first while packages are initialised

Cause: the node caught SIGHUP in its main function, 10 to 20 ms after its start: the libraries take that long to initialise.

--- a/crocusd/internal/commander/commander.go
+++ b/crocusd/internal/commander/commander.go
@@ -11,6 +11,7 @@
 	"github.com/jessevdk/go-flags"
 
 	"crocustack/core/configurer"
+	"crocustack/crocusd/internal/catcher"
 	"crocustack/crocusd/internal/composer"
 	"crocustack/crocusd/internal/runner"
 )
@@ -34,7 +35,6 @@
 
 // Run runs the command line and returns the exit code.
 func Run(args []string, out, errOut io.Writer) int {
-	hup := catchHangup()
 	var o options
 	p := flags.NewNamedParser("crocusd", flags.HelpFlag|flags.PassDoubleDash)
 	p.LongDescription = longDescription
@@ -63,7 +63,7 @@
 	if o.Check {
 		return exitOK
 	}
-	return serve(o.Settings, b, cfg, hup, out, errOut)
+	return serve(o.Settings, b, cfg, out, errOut)
 }
 
 // node is a node that is put together.
@@ -84,12 +84,12 @@
 	return runner.New(cfg, out)
 }
 
-func serve(file string, b []byte, cfg configurer.Settings, hup <-chan os.Signal, out, errOut io.Writer) int {
+func serve(file string, b []byte, cfg configurer.Settings, out, errOut io.Writer) int {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	n, err := build(cfg, out)
 	if err == nil {
-		go newReloader(file, b, n, hup).run(ctx)
+		go newReloader(file, b, n, catcher.Hangups()).run(ctx)
 		err = n.Run(ctx)
 	}
 	if err != nil {
--- a/crocusd/internal/commander/reloader.go
+++ b/crocusd/internal/commander/reloader.go
@@ -4,8 +4,6 @@
 	"bytes"
 	"context"
 	"os"
-	"os/signal"
-	"syscall"
 	"time"
 
 	"crocustack/core/configurer"
@@ -28,15 +26,6 @@
 	return &reloader{file: file, node: n, hup: hup, last: b}
 }
 
-// catchHangup keeps SIGHUP from ending the process, from the start of the program
-// to its end: its default action would end a process that is starting, or that is
-// still finishing requests.
-func catchHangup() <-chan os.Signal {
-	hup := make(chan os.Signal, 1)
-	signal.Notify(hup, syscall.SIGHUP)
-	return hup
-}
-
 // run reloads until ctx ends.
 func (r *reloader) run(ctx context.Context) {
 	ticker := time.NewTicker(reloadInterval)
