core, platform: remove dead parts, report dropped log lines

Ruled out: using Levels.Allows in the two places that read a level: both keep the level itself (it travels with the request), so they would read it twice.

Before: lines dropped silently. After: a line "log lines dropped" with their number once the reader is back, and the gauge Log.Dropped; the test of the stuck reader checks both (it fails without them: no gauge, no report).

Conclusion: no change of decisions.

--- a/core/admitter/admitter_test.go
+++ b/core/admitter/admitter_test.go
@@ -254,19 +254,22 @@
 		t.Fatalf("priority %d of a browse request, want a fixed value in 128 to 255", p)
 	}
 	now := time.Duration(0)
+	allows := func(at time.Duration, kind string, priority uint32) bool {
+		return priority >= l.Effective(at, "archiwum", kind)
+	}
 	for range 100 {
 		l.Observe(now, "archiwum", "list", p+1)
 		now += levelHold
-		if l.Allows(now, "archiwum", "list", p) {
+		if allows(now, "list", p) {
 			t.Fatalf("a request below the level passed at %v, with news every %v", now, levelHold)
 		}
 	}
-	if !l.Allows(now, "archiwum", "list", p+1) || !l.Allows(now, "archiwum", "get", 0) {
+	if !allows(now, "list", p+1) || !allows(now, "get", 0) {
 		t.Error("a request at the level or of another kind was refused")
 	}
 	// 10 ms at 256 levels a second are 2 levels, so the request passes soon
 	// after the news stopped, and no earlier.
-	if !l.Allows(now+10*time.Millisecond, "archiwum", "list", p) || l.Allows(now+10*time.Millisecond, "archiwum", "list", p-2) {
+	if !allows(now+10*time.Millisecond, "list", p) || allows(now+10*time.Millisecond, "list", p-2) {
 		t.Errorf("level %d 10 ms after the hold, want %d", l.Effective(now+10*time.Millisecond, "archiwum", "list"), p-1)
 	}
 	if got := l.Effective(now+levelLifetime, "archiwum", "list"); got != 0 {
--- a/core/admitter/levels.go
+++ b/core/admitter/levels.go
@@ -96,8 +96,3 @@
 	}
 	return all
 }
-
-// Allows tells whether a request with the priority may be sent.
-func (l *Levels) Allows(now time.Duration, service, kind string, priority uint32) bool {
-	return priority >= l.Effective(now, service, kind)
-}
--- a/core/matcher/matcher.go
+++ b/core/matcher/matcher.go
@@ -13,12 +13,11 @@
 type Table struct {
 	// byHost holds the routes of a host in lower case, the longest prefix first.
 	byHost map[string][]connector.Route
-	routes int
 }
 
 // NewTable builds a table of the routes of a configuration.
 func NewTable(routes []connector.Route) *Table {
-	t := &Table{byHost: make(map[string][]connector.Route), routes: len(routes)}
+	t := &Table{byHost: make(map[string][]connector.Route)}
 	for _, r := range routes {
 		host := canonical(r.Host)
 		t.byHost[host] = append(t.byHost[host], r)
@@ -29,9 +28,6 @@
 	return t
 }
 
-// Len is the number of routes.
-func (t *Table) Len() int { return t.routes }
-
 // Find returns the route of a host and path, and false when there is none.
 func (t *Table) Find(host, path string) (connector.Route, bool) {
 	for _, r := range t.byHost[canonical(host)] {
--- a/core/recorder/queue.go
+++ b/core/recorder/queue.go
@@ -27,7 +27,11 @@
 	// waiting holds whole lines.
 	waiting []byte
 	dropped int64
-	closed  bool
+	// reported is the part of dropped that report was told of.
+	reported int64
+	// report, if set, is told of lines that were dropped once there is room.
+	report func(lines int64)
+	closed bool
 
 	stop, stopped chan struct{}
 }
@@ -61,6 +65,17 @@
 	return q.dropped
 }
 
+// tellDropped reports the lines that were dropped since the last report.
+func (q *Queue) tellDropped() {
+	q.mu.Lock()
+	lines, report := q.dropped-q.reported, q.report
+	q.reported = q.dropped
+	q.mu.Unlock()
+	if lines > 0 && report != nil {
+		report(lines)
+	}
+}
+
 // Close writes what waits, as far as the reader takes it in time.
 func (q *Queue) Close() error {
 	q.mu.Lock()
@@ -96,6 +111,7 @@
 		if len(lines) > 0 {
 			// There is nowhere to report a failed write to.
 			_, _ = q.w.Write(lines)
+			q.tellDropped()
 		}
 		spare = lines
 		if stopping {
--- a/core/recorder/recorder.go
+++ b/core/recorder/recorder.go
@@ -48,6 +48,15 @@
 // Registry returns the metrics. Others may register their own in it.
 func (r *Recorder) Registry() metrics.Registry { return r.registry }
 
+// ReportDropped makes the log and the gauge Log.Dropped say how many lines a
+// queue dropped.
+func (r *Recorder) ReportDropped(q *Queue) {
+	r.registry.GetOrRegister("Log.Dropped", metrics.NewFunctionalGauge(q.Dropped))
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.report = func(lines int64) { r.log.Info("log lines dropped", "Lines", lines) }
+}
+
 // Record writes one decision. Under load only a sample of what went well is
 // logged, and a line a second says how much was left out; ring and metrics hold
 // everything.
--- a/core/recorder/volume_test.go
+++ b/core/recorder/volume_test.go
@@ -7,6 +7,9 @@
 	"testing"
 	"time"
 
+	"github.com/go-logr/logr"
+	"github.com/rcrowley/go-metrics"
+
 	"crocustack/core/resolver"
 )
 
@@ -44,12 +47,24 @@
 	case <-time.After(10 * time.Second):
 		t.Fatal("writing waits for the reader")
 	}
+	rec := New(logr.Discard(), 1)
+	told := make(chan int64, 500)
+	rec.ReportDropped(q)
+	if g, ok := rec.Registry().Get("Log.Dropped").(metrics.Gauge); !ok || g.Value() != q.Dropped() {
+		t.Errorf("gauge Log.Dropped is %v, want %d", rec.Registry().Get("Log.Dropped"), q.Dropped())
+	}
+	q.mu.Lock()
+	q.report = func(lines int64) { told <- lines }
+	q.mu.Unlock()
 	// One batch of lines may be with the reader besides those that wait.
 	if n := q.Dropped(); n < 500-20 {
 		t.Errorf("%d of 500 lines dropped, want at least 480", n)
 	}
 	close(s.release)
 	_ = q.Close()
+	if n := <-told; n != q.Dropped() {
+		t.Errorf("%d dropped lines reported, want %d", n, q.Dropped())
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if got := s.got.Len(); got%len(line) != 0 || got > 2000 {
--- a/core/router/router_test.go
+++ b/core/router/router_test.go
@@ -225,7 +225,7 @@
 	for b.Loop() {
 		now += 10 * time.Microsecond
 		id := rng.Uint64()
-		levels.Allows(now, "archiwum", "list", admitter.Priority(classifier.ClassBrowse, id))
+		_ = admitter.Priority(classifier.ClassBrowse, id) < levels.Effective(now, "archiwum", "list")
 		d := r.Pick(now, "archiwum", nil, id).(Chosen)
 		r.Start(now, "archiwum", d.Upstream.Address)
 		a.Offer(now, admitter.Request{ID: id, Class: classifier.ClassBrowse, Kind: "list", TreeID: id})
--- a/crocusd/internal/composer/composer.go
+++ b/crocusd/internal/composer/composer.go
@@ -118,12 +118,14 @@
 	}
 	n.service.Store(&cfg.Node.Service)
 	n.bounds.Store(&bounds)
-	n.compose(recorder.New(decisions, recentDecisions))
+	n.rec = recorder.New(decisions, recentDecisions)
+	n.rec.ReportDropped(lines)
+	n.compose()
 	return n, nil
 }
 
-func (n *Node) compose(rec *recorder.Recorder) {
-	n.rec = rec
+// compose builds the parts of the node.
+func (n *Node) compose() {
 	levels := admitter.NewLevels()
 	runs, calls := tracer.NewRegistry(), tracer.NewCalls()
 	n.router = router.New(router.Config{SlowStart: slowStart, LeavingTime: leavingTime, LastResort: true}, n.cfg.Node.Domain, n.cfg.Node.Region, n.self.BootID)
--- a/crocusd/internal/runner/runner.go
+++ b/crocusd/internal/runner/runner.go
@@ -86,6 +86,7 @@
 		self: gatekeeper.Incarnation{Service: cfg.Node.Service, Address: cfg.Node.Link, BootID: gatekeeper.NewBootID()},
 	}
 	n.rec = recorder.New(decisions, recentDecisions)
+	n.rec.ReportDropped(lines)
 	n.levels = admitter.NewLevels()
 	runs, calls := tracer.NewRegistry(), tracer.NewCalls()
 	n.router = router.New(router.Config{}, cfg.Node.Domain, cfg.Node.Region, n.self.BootID)
