crocusd: one listener and one broadcast for both kinds of node

Cause: composer and runner each had its own way to open an HTTP listener and to tell all peers that the node leaves; they differed in one timeout by accident of copying.

Ruled out: one shared Run: the two drains differ in what they wait for, and a common one would take a function for every step.

Before: two copies of 14 and 3 lines. Conclusion: no change of behaviour.

--- a/core/linker/manager.go
+++ b/core/linker/manager.go
@@ -143,6 +143,14 @@
 	return ls
 }
 
+// Broadcast sends a control message on all links. A link that is closed
+// meanwhile has nobody left to be told.
+func (m *Manager) Broadcast(c *encoder.Control) {
+	for _, l := range m.Links() {
+		_ = l.SendControl(c)
+	}
+}
+
 // Close closes all links and waits for their goroutines.
 func (m *Manager) Close() {
 	m.mu.Lock()
--- a/crocusd/internal/composer/composer.go
+++ b/crocusd/internal/composer/composer.go
@@ -26,6 +26,7 @@
 	"crocustack/crocusd/internal/dispatcher"
 	"crocustack/crocusd/internal/forwarder"
 	"crocustack/crocusd/internal/handler"
+	"crocustack/crocusd/internal/listener"
 	"crocustack/crocusd/internal/tracer"
 	"crocustack/platform"
 )
@@ -58,12 +59,11 @@
 	gcPercent = 300
 	// softMemoryLimit makes the collector work harder near this size.
 	softMemoryLimit = 160 << 20
-	// headerTimeout and idleTimeout free connections of clients that send
-	// nothing. They are longer than what the operators allow a client.
-	headerTimeout = 10 * time.Second
-	idleTimeout   = 2 * time.Minute
 )
 
+// clientTimeouts are longer than what the operators allow a client.
+var clientTimeouts = listener.Timeouts{Header: 10 * time.Second, Idle: 2 * time.Minute}
+
 // Node is a node on the users' platform.
 type Node struct {
 	cfg    configurer.Settings
@@ -154,15 +154,15 @@
 		return errors.Wrap(err, "listen for links")
 	}
 	defer func() { _ = link.Close() }()
-	outbound, err := n.serveHTTP(n.cfg.Node.Outbound, platform.NewIngress(n.dispatch, func() string { return *n.service.Load() }))
+	outbound, err := listener.Serve(n.log, n.cfg.Node.Outbound, platform.NewIngress(n.dispatch, func() string { return *n.service.Load() }), clientTimeouts)
 	if err != nil {
 		return err
 	}
-	ready, err := n.serveHTTP(n.cfg.Node.Ready, platform.NewReadiness(n.dispatch))
+	ready, err := listener.Serve(n.log, n.cfg.Node.Ready, platform.NewReadiness(n.dispatch), clientTimeouts)
 	if err != nil {
 		return err
 	}
-	admin, err := n.serveHTTP(n.cfg.Node.Admin, administrator.Metrics(n.rec))
+	admin, err := listener.Serve(n.log, n.cfg.Node.Admin, administrator.Metrics(n.rec), clientTimeouts)
 	if err != nil {
 		return err
 	}
@@ -179,20 +179,6 @@
 	return errors.Wrap(errors.CombineErrors(errors.CombineErrors(admin.Close(), ready.Close()), n.flushLog()), "stop")
 }
 
-func (n *Node) serveHTTP(address string, h http.Handler) (*http.Server, error) {
-	ln, err := net.Listen("tcp", address)
-	if err != nil {
-		return nil, errors.Wrapf(err, "listen on %s", address)
-	}
-	s := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
-	go func() {
-		if err := s.Serve(ln); err != nil && !errors.Is(err, http.ErrServerClosed) {
-			n.log.Error(err, "HTTP listener failed", "Address", address)
-		}
-	}()
-	return s, nil
-}
-
 const (
 	// noticeTime is how long a leaving node goes on taking requests: clients
 	// stop after two readiness questions, which come once a second. What is taken
@@ -229,9 +215,7 @@
 // others from then on, and to this one only when there is no other.
 func (n *Node) announce() {
 	n.leaving.Store(true)
-	for _, l := range n.links.Links() {
-		_ = l.SendControl(&encoder.Control{Message: &encoder.Control_Leaving{Leaving: &encoder.Leaving{}}})
-	}
+	n.links.Broadcast(&encoder.Control{Message: &encoder.Control_Leaving{Leaving: &encoder.Leaving{}}})
 }
 
 // regionsOf reads texts of the form domain=region.
--- /dev/null
+++ b/crocusd/internal/listener/doc.go
@@ -0,0 +1,2 @@
+// Package listener opens the HTTP listeners of a node. It owns no state.
+package listener
--- a/crocusd/internal/runner/runner.go
+++ b/crocusd/internal/runner/runner.go
@@ -30,6 +30,7 @@
 	"crocustack/crocusd/internal/administrator"
 	"crocustack/crocusd/internal/forwarder"
 	"crocustack/crocusd/internal/handler"
+	"crocustack/crocusd/internal/listener"
 	"crocustack/crocusd/internal/prober"
 	"crocustack/crocusd/internal/server"
 	"crocustack/crocusd/internal/synchronizer"
@@ -209,6 +210,9 @@
 // bodies can reach: the default budget for bodies is 64 MB.
 const softMemoryLimit = 256 << 20
 
+// callerTimeouts frees connections of callers that send nothing.
+var callerTimeouts = listener.Timeouts{Header: 10 * time.Second}
+
 // Run serves until ctx ends, then stops gracefully.
 func (n *Node) Run(ctx context.Context) error {
 	if os.Getenv("GOGC") == "" {
@@ -220,15 +224,15 @@
 		return errors.Wrap(err, "listen for links")
 	}
 	defer func() { _ = link.Close() }()
-	entry, err := n.serveHTTP(n.cfg.Node.Entry, n.server.Entry())
+	entry, err := listener.Serve(n.log, n.cfg.Node.Entry, n.server.Entry(), callerTimeouts)
 	if err != nil {
 		return err
 	}
-	outbound, err := n.serveHTTP(n.cfg.Node.Outbound, n.server.Outbound())
+	outbound, err := listener.Serve(n.log, n.cfg.Node.Outbound, n.server.Outbound(), callerTimeouts)
 	if err != nil {
 		return err
 	}
-	admin, err := n.serveHTTP(n.cfg.Node.Admin, administrator.Handler(n, n.rec))
+	admin, err := listener.Serve(n.log, n.cfg.Node.Admin, administrator.Handler(n, n.rec), callerTimeouts)
 	if err != nil {
 		return err
 	}
@@ -252,30 +256,13 @@
 	return errors.Wrap(err, "stop")
 }
 
-func (n *Node) serveHTTP(address string, h http.Handler) (*http.Server, error) {
-	ln, err := net.Listen("tcp", address)
-	if err != nil {
-		return nil, errors.Wrapf(err, "listen on %s", address)
-	}
-	// The header timeout frees connections of callers that send nothing.
-	s := &http.Server{Handler: h, ReadHeaderTimeout: 10 * time.Second}
-	go func() {
-		if err := s.Serve(ln); err != nil && !errors.Is(err, http.ErrServerClosed) {
-			n.log.Error(err, "HTTP listener failed", "Address", address)
-		}
-	}()
-	return s, nil
-}
-
 // leave refuses new work and tells all peers.
 func (n *Node) leave() {
 	if n.handler.Draining() {
 		return
 	}
 	n.handler.Leave()
-	for _, l := range n.links.Links() {
-		_ = l.SendControl(&encoder.Control{Message: &encoder.Control_Leaving{Leaving: &encoder.Leaving{}}})
-	}
+	n.links.Broadcast(&encoder.Control{Message: &encoder.Control_Leaving{Leaving: &encoder.Leaving{}}})
 }
 
 // stop finishes what is in flight within the drain timeout.
