composer: test that lost answers stay within a route's attempts

After: four nodes whose backend servers run every request and lose the answer; a repeatable request with two attempts runs twice, one with one attempt once, one that may not be repeated once, and all get 502.

--- a/crocusd/internal/composer/node_test.go
+++ b/crocusd/internal/composer/node_test.go
@@ -94,6 +94,7 @@
 		Version: f.version,
 		Routes: []connector.Route{
 			{Name: "read", Host: host, Prefix: "/read/", Idempotent: true, Timeout: 3 * time.Second, Objective: time.Second, MaxAttempts: 2, Shares: shares},
+			{Name: "once", Host: host, Prefix: "/once/", Idempotent: true, Timeout: 3 * time.Second, Objective: time.Second, MaxAttempts: 1, Shares: shares},
 			{Name: "write", Host: host, Prefix: "/write/", Timeout: 3 * time.Second, Objective: time.Second, MaxAttempts: 2, Shares: shares},
 		},
 		Services: map[string]connector.Service{"s": {Name: "s"}, "other": {Name: "other"}},
@@ -248,6 +249,30 @@
 	})
 }
 
+// Pattern: all backend servers of a service run requests and lose the answers.
+// Guards against more runs than the route allows to a request that may be
+// repeated, against a second run of one that may not, and against "not run" for
+// a request that ran.
+func TestLostAnswersBoundRuns(t *testing.T) {
+	f := newFleet(t, "s", "s", "s", "s")
+	for _, m := range f.machines {
+		m.backend.Lose(true)
+	}
+	for i, c := range []struct {
+		method, target string
+		runs           int
+	}{
+		{http.MethodGet, "/read/x", 2}, {http.MethodGet, "/once/x", 1}, {http.MethodPost, "/write/x", 1},
+		{http.MethodGet, "/read/x", 2}, {http.MethodGet, "/once/x", 1}, {http.MethodPost, "/write/x", 1},
+	} {
+		id := fmt.Sprint("l-", i)
+		got := f.send(i%len(f.machines), standin.Request{ID: id, Method: c.method, Target: c.target})
+		if runs := len(f.ran(id)); got.Status != http.StatusBadGateway || runs != c.runs {
+			t.Errorf("%s %s: %+v, ran %d times, want 502 and %d", c.method, c.target, got, runs, c.runs)
+		}
+	}
+}
+
 // Guards against requests that a planned stop cuts off, at the node that took
 // them and at the node beside their upstream, and against refusals of requests
 // that ran.
