--- a/crocusfake/internal/prover/once_test.go
+++ b/crocusfake/internal/prover/once_test.go
@@ -79,6 +79,23 @@
 	})
 }
 
+// faultRounds injects a fault at the gate n times, each after whole answers, and
+// ends the callers once whole answers came after the last one.
+func (f *fleet) faultRounds(l *loader.Loader, stop func(), gate *node, n int, fault func()) {
+	f.t.Helper()
+	for range n {
+		f.waitWhole(l, gate, 60)
+		fault()
+	}
+	f.waitWhole(l, gate, 60)
+	stop()
+}
+
+// longerThan selects the requests that ended later than usual.
+func longerThan(d time.Duration) func(loader.Try) bool {
+	return func(t loader.Try) bool { return !t.End.IsZero() && t.End.Sub(t.Begin) > d }
+}
+
 func inDoubt(t loader.Try) bool { return t.Outcome == "Unknown" || t.Outcome == "" }
 
 // requireFault fails a test whose fault nobody noticed, or whose callers never
@@ -99,14 +116,11 @@
 	f := numerator(t, 2, "waw-a")
 	l, stop := f.callers(patientCaller, 1)
 	gate := f.of("numerator")[0]
-	for range 2 {
-		f.waitWhole(l, gate, 60)
+	f.faultRounds(l, stop, gate, 2, func() {
 		gate.kill()
 		f.launch(gate)
 		f.waitReady(gate)
-	}
-	f.waitWhole(l, gate, 60)
-	stop()
+	})
 	requireFault(t, l, f.judge(l), inDoubt)
 }
 
@@ -117,14 +131,11 @@
 	f := numerator(t, 1, "waw-a")
 	l, stop := f.callers(hastyCaller, 2)
 	gate := f.of("numerator")[0]
-	for range 2 {
-		f.waitWhole(l, gate, 60)
+	f.faultRounds(l, stop, gate, 2, func() {
 		gate.signal(syscall.SIGSTOP)
 		time.Sleep(3 * hastyCaller)
 		gate.signal(syscall.SIGCONT)
-	}
-	f.waitWhole(l, gate, 60)
-	stop()
+	})
 	requireFault(t, l, f.judge(l), inDoubt)
 }
 
@@ -135,17 +146,14 @@
 	f := numerator(t, 2, "waw-a")
 	l, stop := f.callers(patientCaller, 3)
 	gate := f.of("numerator")[0]
-	for range 2 {
-		f.waitWhole(l, gate, 60)
+	f.faultRounds(l, stop, gate, 2, func() {
 		gate.signal(syscall.SIGSTOP)
 		// Past the 1 s after which senders abandon the link, and within the 1 s
 		// in which they try to open the next one.
 		time.Sleep(1500 * time.Millisecond)
 		gate.signal(syscall.SIGCONT)
-	}
-	f.waitWhole(l, gate, 60)
-	stop()
-	requireFault(t, l, f.judge(l), func(t loader.Try) bool { return !t.End.IsZero() && t.End.Sub(t.Begin) > time.Second })
+	})
+	requireFault(t, l, f.judge(l), longerThan(time.Second))
 }
 
 // TestP5LinkLate guards against a gate that confirms on a new link that a
@@ -154,18 +162,15 @@
 	f := numerator(t, 2, "waw-a")
 	l, stop := f.callers(patientCaller, 7)
 	gate := f.of("numerator")[0]
-	for range 2 {
-		f.waitWhole(l, gate, 60)
+	f.faultRounds(l, stop, gate, 2, func() {
 		// What is sent in the first 500 ms arrives after 3 s, which is after the
 		// senders abandoned the link (1 s) and asked on a new one.
 		f.eachLink(func(r *relayer.Relay) { r.SetDelay(3 * time.Second) })
 		time.Sleep(500 * time.Millisecond)
 		f.eachLink(func(r *relayer.Relay) { r.SetDelay(0) })
 		time.Sleep(3 * time.Second)
-	}
-	f.waitWhole(l, gate, 60)
-	stop()
-	requireFault(t, l, f.judge(l), func(t loader.Try) bool { return !t.End.IsZero() && t.End.Sub(t.Begin) > time.Second })
+	})
+	requireFault(t, l, f.judge(l), longerThan(time.Second))
 	if f.logged("VoidVoided") == 0 {
 		t.Error("no request was found void")
 	}
@@ -177,15 +182,12 @@
 	f := numerator(t, 2, "waw-a")
 	l, stop := f.callers(hastyCaller, 4)
 	sender, gate := f.of("desk")[0], f.of("numerator")[0]
-	for range 2 {
-		f.waitWhole(l, gate, 60)
+	f.faultRounds(l, stop, gate, 2, func() {
 		frozen := time.Now()
 		sender.signal(syscall.SIGSTOP)
 		f.waitDoubt(l, frozen, 60)
 		sender.signal(syscall.SIGCONT)
-	}
-	f.waitWhole(l, gate, 60)
-	stop()
+	})
 	requireFault(t, l, f.judge(l), inDoubt)
 }
 
@@ -195,13 +197,10 @@
 	f := numerator(t, 2, "waw-a")
 	l, stop := f.callers(patientCaller, 5)
 	gate := f.of("numerator")[0]
-	for range 3 {
-		f.waitWhole(l, gate, 60)
+	f.faultRounds(l, stop, gate, 3, func() {
 		f.eachLink((*relayer.Relay).Silence)
-	}
-	f.waitWhole(l, gate, 60)
-	stop()
-	requireFault(t, l, f.judge(l), func(t loader.Try) bool { return !t.End.IsZero() && t.End.Sub(t.Begin) > 500*time.Millisecond })
+	})
+	requireFault(t, l, f.judge(l), longerThan(500*time.Millisecond))
 }
 
 // TestP5LinkClosed guards against a request that is sent again, or reported as
