soaker: one-way cuts, the store's ways, lost answers, configuration never back

Cause: the soak had no cut of one direction, could not keep one machine from the store, lost no answers, and checked nothing about configurations.

After: 20 faults; each run of a node is asked four times a second for the newest version's own route and for the one before, and a version served after a newer one, or denied after it was served, is a breach (TestVersionWatch).

--- a/crocusfake/internal/commander/soak.go
+++ b/crocusfake/internal/commander/soak.go
@@ -19,8 +19,9 @@
 	description: `Runs real nodes as processes on loopback addresses (127.0.88.0/24), with
 stand-ins for store, backend servers and clients, and injects faults from outside:
 processes killed, stopped, paused and hung up; links delayed, silenced, blocked
-and closed; a store that is down or forgets; configurations, drains and replaced
-backend servers. Runs one seed after the other; exits non-zero on a breach and
+one way or both, and closed; a store that is down, slow, forgets or can't be
+reached by some; configurations, drains, replaced backend servers and lost
+answers. Runs one seed after the other; exits non-zero on a breach and
 keeps settings and logs of that seed then.`,
 	create: func() command { return &soakCommand{} },
 }
@@ -28,6 +29,7 @@
 type soakCommand struct {
 	Seed     uint64        `long:"seed" default:"1" description:"first seed"`
 	Seeds    uint64        `long:"seeds" default:"1" description:"number of seeds"`
+	Basic    bool          `long:"basic" description:"only the faults that the first seeds were drawn from"`
 	Machines int           `long:"machines" default:"6" description:"number of machines"`
 	Length   time.Duration `long:"length" default:"15s" description:"time in which faults begin"`
 	Rate     int           `long:"rate" default:"60" description:"requests a second"`
@@ -41,7 +43,7 @@
 	breaches := 0
 	for seed := c.Seed; seed < c.Seed+c.Seeds; seed++ {
 		r, err := soaker.Run(ctx, soaker.Config{
-			Binary: filepath.Join(filepath.Dir(self), "crocusd"), Seed: seed, Machines: c.Machines, Length: c.Length, Rate: c.Rate,
+			Binary: filepath.Join(filepath.Dir(self), "crocusd"), Seed: seed, Basic: c.Basic, Machines: c.Machines, Length: c.Length, Rate: c.Rate,
 		}, out)
 		if err != nil {
 			return err
--- a/crocusfake/internal/relayer/relayer.go
+++ b/crocusfake/internal/relayer/relayer.go
@@ -18,6 +18,8 @@
 	listener net.Listener
 	target   string
 	delay    atomic.Int64
+	// oneWay is true while what the target sends is held back.
+	oneWay atomic.Bool
 
 	mu      sync.Mutex
 	blocked bool
@@ -51,6 +53,10 @@
 // SetDelay delays each direction.
 func (r *Relay) SetDelay(d time.Duration) { r.delay.Store(int64(d)) }
 
+// SetOneWay cuts the direction from the target until it is reset. As with a cut
+// of a real link, TCP delivers afterwards what was held back.
+func (r *Relay) SetOneWay(cut bool) { r.oneWay.Store(cut) }
+
 // Silence makes the open connections silent without closing them. New ones
 // work.
 func (r *Relay) Silence() {
@@ -133,8 +139,8 @@
 	}
 	r.mu.Unlock()
 	var wg sync.WaitGroup
-	wg.Go(func() { r.pump(c, in, out) })
-	wg.Go(func() { r.pump(c, out, in) })
+	wg.Go(func() { r.pump(c, in, out, nil) })
+	wg.Go(func() { r.pump(c, out, in, &r.oneWay) })
 	wg.Wait()
 	select {
 	case <-c.silent:
@@ -156,8 +162,12 @@
 	due  time.Time
 }
 
-// pump forwards one direction until it ends or falls silent.
-func (r *Relay) pump(c *connection, from, to net.Conn) {
+// holdPoll is the time between two looks at whether a cut has ended.
+const holdPoll = 5 * time.Millisecond
+
+// pump forwards one direction until it ends or falls silent. It holds back what
+// comes in while cut, if there is one, is true.
+func (r *Relay) pump(c *connection, from, to net.Conn, cut *atomic.Bool) {
 	queue := make(chan chunk, queueLength)
 	go func() {
 		defer close(queue)
@@ -182,6 +192,9 @@
 		if wait := time.Until(ch.due); wait > 0 {
 			time.Sleep(wait)
 		}
+		for cut != nil && cut.Load() {
+			time.Sleep(holdPoll)
+		}
 		select {
 		case <-c.silent:
 			failed = true
--- a/crocusfake/internal/soaker/faults.go
+++ b/crocusfake/internal/soaker/faults.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"os"
+	"slices"
 	"syscall"
 	"time"
 
@@ -16,8 +17,10 @@
 	run  func(f *fleet, m *machine, lasts time.Duration) error
 }
 
-// faults is the look-up table; its order is part of what a seed means.
-var faults = []fault{
+// basicFaults and further ones are the look-up table; its order and length are
+// part of what a seed means. Seeds that failed with the basic ones alone are
+// repeated with these.
+var basicFaults = []fault{
 	{"kill", func(f *fleet, m *machine, d time.Duration) error { return f.restart(m, syscall.SIGKILL, d/4) }},
 	{"stop", func(f *fleet, m *machine, d time.Duration) error { return f.restart(m, syscall.SIGTERM, d/4) }},
 	{"pause", func(_ *fleet, m *machine, d time.Duration) error {
@@ -75,6 +78,42 @@
 	}},
 }
 
+// allFaults adds those of single machines' ways: one direction of the links, the
+// way to the store, and answers of the backend server.
+var allFaults = append(slices.Clip(basicFaults), []fault{
+	{"cut links one way", func(_ *fleet, m *machine, d time.Duration) error {
+		m.relay.SetOneWay(true)
+		time.Sleep(d)
+		m.relay.SetOneWay(false)
+		return nil
+	}},
+	{"cut from the store", func(_ *fleet, m *machine, d time.Duration) error {
+		m.toStore.SetBlocked(true)
+		time.Sleep(d)
+		m.toStore.SetBlocked(false)
+		return nil
+	}},
+	{"hear the store no more", func(_ *fleet, m *machine, d time.Duration) error {
+		m.toStore.SetOneWay(true)
+		time.Sleep(d)
+		m.toStore.SetOneWay(false)
+		return nil
+	}},
+	{"slow store", func(_ *fleet, m *machine, d time.Duration) error {
+		m.toStore.SetDelay(250 * time.Millisecond)
+		time.Sleep(d)
+		m.toStore.SetDelay(0)
+		return nil
+	}},
+	{"reset the store's connections", func(_ *fleet, m *machine, _ time.Duration) error { m.toStore.CloseConnections(); return nil }},
+	{"lose answers", func(_ *fleet, m *machine, d time.Duration) error {
+		m.backend.Lose(true)
+		time.Sleep(d / 4)
+		m.backend.Lose(false)
+		return nil
+	}},
+}...)
+
 // planned is one entry of the schedule of a seed.
 type planned struct {
 	fault  fault
@@ -91,7 +130,7 @@
 )
 
 // schedule draws the faults that begin within the length.
-func schedule(seed uint64, machines int, length time.Duration) []planned {
+func schedule(faults []fault, seed uint64, machines int, length time.Duration) []planned {
 	rng := rand.New(rand.NewPCG(seed, 1))
 	var plan []planned
 	for at := time.Duration(rng.ExpFloat64() * float64(faultGap)); at < length; at += time.Duration(rng.ExpFloat64() * float64(faultGap)) {
--- a/crocusfake/internal/soaker/faults_test.go
+++ b/crocusfake/internal/soaker/faults_test.go
@@ -19,14 +19,23 @@
 		}
 		return lines
 	}
-	if d := cmp.Diff(describe(schedule(7, 6, time.Minute)), describe(schedule(7, 6, time.Minute))); d != "" {
+	if d := cmp.Diff(describe(schedule(allFaults, 7, 6, time.Minute)), describe(schedule(allFaults, 7, 6, time.Minute))); d != "" {
 		t.Errorf("the same seed gives another schedule:\n%s", d)
 	}
+	// What the seeds in README.md mean: the first faults of seed 5.
+	want := []string{"block links 459.534536ms", "close links 588.672268ms"}
+	var got []string
+	for _, p := range schedule(basicFaults, 5, 6, 12*time.Second)[:2] {
+		got = append(got, p.fault.name+" "+p.at.String())
+	}
+	if d := cmp.Diff(want, got); d != "" {
+		t.Errorf("seed 5 means another schedule (-want +got):\n%s", d)
+	}
 	drawn := make(map[string]bool)
-	for _, p := range schedule(7, 6, 5*time.Minute) {
+	for _, p := range schedule(allFaults, 7, 6, 5*time.Minute) {
 		drawn[p.fault.name] = true
 	}
-	for _, f := range faults {
+	for _, f := range allFaults {
 		if !drawn[f.name] {
 			t.Errorf("%q is never drawn", f.name)
 		}
@@ -70,3 +79,33 @@
 		}
 	}
 }
+
+// Guards against a judge that misses a configuration that goes back, or takes a
+// change or another run of the process for one.
+func TestVersionWatch(t *testing.T) {
+	first, second := time.Unix(1, 0), time.Unix(2, 0)
+	for _, c := range []struct {
+		name    string
+		run     time.Time
+		highest int64
+		version int64
+		status  int
+		newest  int64
+		bad     bool
+	}{
+		{"newer", first, 3, 4, http.StatusOK, 4, false},
+		{"same", first, 3, 3, http.StatusOK, 3, false},
+		{"back", first, 3, 2, http.StatusOK, 3, true},
+		{"back after a start", second, 3, 2, http.StatusOK, 3, false},
+		{"not there yet", first, 3, 4, http.StatusNotFound, 4, false},
+		{"denied again", first, 3, 3, http.StatusNotFound, 3, true},
+		{"replaced meanwhile", first, 3, 3, http.StatusNotFound, 4, false},
+		{"failed", first, 3, 2, http.StatusBadGateway, 3, false},
+	} {
+		v := versionWatch{run: first, highest: c.highest}
+		v.questions(c.run, c.newest)
+		if text := v.answer(c.version, c.status, c.newest); (text != "") != c.bad {
+			t.Errorf("%s: %q, want a breach: %t", c.name, text, c.bad)
+		}
+	}
+}
--- a/crocusfake/internal/soaker/fleet.go
+++ b/crocusfake/internal/soaker/fleet.go
@@ -34,6 +34,8 @@
 	address string // IP address.
 	backend *standin.Backend
 	relay   *relayer.Relay
+	// toStore is the way of the node to the store.
+	toStore *relayer.Relay
 	dir     string
 
 	mu sync.Mutex
@@ -50,12 +52,13 @@
 
 // fleet is the running platform.
 type fleet struct {
-	binary   string
-	store    *standin.Store
-	storeURL string
-	ports    ports
-	machines []*machine
-	closers  []func()
+	binary string
+	store  *standin.Store
+	// storeAddress is where the store listens.
+	storeAddress string
+	ports        ports
+	machines     []*machine
+	closers      []func()
 	// closing is true once the run is over.
 	closing atomic.Bool
 
@@ -73,7 +76,7 @@
 		return nil, errors.Wrap(err, "listen for the store")
 	}
 	f.serve(storeListener, f.store)
-	f.storeURL = "http://" + storeListener.Addr().String()
+	f.storeAddress = storeListener.Addr().String()
 	if f.ports, err = freePorts(); err != nil {
 		return nil, err
 	}
@@ -143,6 +146,10 @@
 		return err
 	}
 	f.closers = append(f.closers, m.relay.Close)
+	if m.toStore, err = relayer.New("127.0.0.1:0", f.storeAddress); err != nil {
+		return err
+	}
+	f.closers = append(f.closers, m.toStore.Close)
 	m.entry = connector.Member{
 		Instance: instance, Service: service, Address: net.JoinHostPort(m.address, f.ports.app),
 		Domain: fmt.Sprint("d", i%2), Slots: 20, Born: 1, Sequence: 1,
@@ -161,9 +168,9 @@
 	at := func(port string) string { return net.JoinHostPort(m.address, port) }
 	return fmt.Appendf(nil, `Node: {Service: %s, Domain: %s, Region: r, Link: "%s", Listen: "%s", Outbound: "%s", Ready: "%s", Admin: "%s"}
 Backend: {URL: "http://%s"}
-Platform: {Hosted: true, URL: "%s", Bounds: ["grace=6s", "retryBudgetRatio=0.2", "retryBudgetSlack=40"]}
+Platform: {Hosted: true, URL: "http://%s", Bounds: ["grace=6s", "retryBudgetRatio=0.2", "retryBudgetSlack=40"]}
 Timing: {SilentAfter: 150ms, AbandonAfter: 350ms}
-`, service, m.entry.Domain, at(f.ports.link), at(f.ports.listen), at(f.ports.outbound), at(f.ports.ready), at(f.ports.admin), at(f.ports.app), f.storeURL)
+`, service, m.entry.Domain, at(f.ports.link), at(f.ports.listen), at(f.ports.outbound), at(f.ports.ready), at(f.ports.admin), at(f.ports.app), m.toStore.Address())
 }
 
 // start starts the node of a machine and watches for its end.
@@ -264,6 +271,18 @@
 	return f.start(m)
 }
 
+func (m *machine) startTime() time.Time {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.started
+}
+
+func (f *fleet) newestVersion() int64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.version
+}
+
 // publish writes the next configuration, with a route that only it has.
 func (f *fleet) publish() {
 	f.mu.Lock()
--- a/crocusfake/internal/soaker/judge.go
+++ b/crocusfake/internal/soaker/judge.go
@@ -17,6 +17,8 @@
 	request standin.Request
 	begin   time.Time
 	result  standin.Result
+	// deniable is true when the request's route may be unknown to the node.
+	deniable bool
 }
 
 // judge collects what clients see. It is safe for concurrent use.
@@ -29,7 +31,7 @@
 func newJudge() *judge { return &judge{seen: make(map[string]exchanged)} }
 
 // exchange sends one request through the node of a machine.
-func (j *judge) exchange(f *fleet, m *machine, q standin.Request) {
+func (j *judge) exchange(f *fleet, m *machine, q standin.Request, deniable bool) standin.Result {
 	begin := time.Now()
 	// The client waits a little longer than it says, so that an answer at the
 	// last moment is seen.
@@ -38,7 +40,8 @@
 	r := standin.Send(ctx, net.JoinHostPort(m.address, f.ports.outbound), q)
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	j.seen[q.ID] = exchanged{request: q, begin: begin, result: r}
+	j.seen[q.ID] = exchanged{request: q, begin: begin, result: r, deniable: deniable}
+	return r
 }
 
 // report judges the run by the records of the backend servers.
@@ -52,10 +55,14 @@
 			j.checkRun(r)
 		}
 	}
-	report := Report{Requests: len(j.seen)}
+	var report Report
 	calm, calmServed := 0, 0
 	for id, x := range j.seen {
 		j.checkResult(x, runs[id])
+		if x.deniable {
+			continue
+		}
+		report.Requests++
 		served := x.result.Status == http.StatusOK
 		if served {
 			report.Served++
@@ -79,10 +86,18 @@
 	return report
 }
 
+// breach notes what is wrong. The caller holds mu.
 func (j *judge) breach(format string, args ...any) {
 	j.breaches = append(j.breaches, fmt.Sprintf(format, args...))
 }
 
+// note is breach for callers that don't hold mu.
+func (j *judge) note(format string, args ...any) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.breach(format, args...)
+}
+
 // checkRun compares a run with the request that its client sent.
 func (j *judge) checkRun(r standin.Run) {
 	x, ok := j.seen[r.ID]
@@ -112,6 +127,10 @@
 			j.breach("%s was told that it didn't run (%d) and ran %d times", id, r.Status, runs)
 		}
 	case 0, http.StatusBadGateway, http.StatusGatewayTimeout:
+	case http.StatusNotFound:
+		if !x.deniable || runs > 0 {
+			j.breach("%s was denied and ran %d times", id, runs)
+		}
 	default:
 		j.breach("%s got status %d", id, r.Status)
 	}
--- a/crocusfake/internal/soaker/soaker.go
+++ b/crocusfake/internal/soaker/soaker.go
@@ -18,8 +18,10 @@
 
 // Config says what to run.
 type Config struct {
-	Binary   string // Path of crocusd.
-	Seed     uint64
+	Binary string // Path of crocusd.
+	Seed   uint64
+	// Basic leaves out the faults that were added after the first seeds failed.
+	Basic    bool
 	Machines int
 	// Length is the time in which faults begin.
 	Length time.Duration
@@ -40,6 +42,14 @@
 	startTimeout = 20 * time.Second
 )
 
+func (c Config) schedule() []planned {
+	faults := allFaults
+	if c.Basic {
+		faults = basicFaults
+	}
+	return schedule(faults, c.Seed, c.Machines, c.Length)
+}
+
 // Report is the result of a run.
 type Report struct {
 	Seed             uint64
@@ -74,6 +84,9 @@
 	defer stop()
 	var wg sync.WaitGroup
 	wg.Go(func() { f.load(clients, cfg, j) })
+	for _, m := range f.machines {
+		wg.Go(func() { f.watchVersions(clients, m, j) })
+	}
 	err = f.inject(ctx, cfg, out)
 	time.Sleep(settle)
 	calmFrom := time.Now()
@@ -81,7 +94,7 @@
 	stop()
 	wg.Wait()
 	report := j.report(f, calmFrom)
-	report.Seed, report.Faults, report.Logs = cfg.Seed, len(schedule(cfg.Seed, cfg.Machines, cfg.Length)), dir
+	report.Seed, report.Faults, report.Logs = cfg.Seed, len(cfg.schedule()), dir
 	if len(report.Breaches) == 0 && err == nil {
 		err = os.RemoveAll(dir)
 	}
@@ -107,7 +120,7 @@
 func (f *fleet) inject(ctx context.Context, cfg Config, out io.Writer) error {
 	begin := time.Now()
 	queues := make([][]planned, cfg.Machines)
-	for _, p := range schedule(cfg.Seed, cfg.Machines, cfg.Length) {
+	for _, p := range cfg.schedule() {
 		queues[p.target] = append(queues[p.target], p)
 	}
 	errs := make([]error, cfg.Machines)
@@ -153,6 +166,6 @@
 			q.Method, q.Target, q.Body = http.MethodPost, "/write/x", "body of "+q.ID
 		}
 		m := f.machines[rng.IntN(len(f.machines))]
-		wg.Go(func() { j.exchange(f, m, q) })
+		wg.Go(func() { j.exchange(f, m, q, false) })
 	}
 }
--- /dev/null
+++ b/crocusfake/internal/soaker/versions.go
@@ -0,0 +1,68 @@
+package soaker
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"time"
+
+	"crocustack/platform/standin"
+)
+
+// versionInterval is the time between two looks at a node's configuration.
+const versionInterval = 250 * time.Millisecond
+
+// watchVersions asks a node again and again which configuration is in force,
+// until ctx ends. Each version has a route that no other one has.
+func (f *fleet) watchVersions(ctx context.Context, m *machine, j *judge) {
+	var v versionWatch
+	for n := 0; ctx.Err() == nil; n++ {
+		run := m.startTime()
+		newest := f.newestVersion()
+		for _, version := range v.questions(run, newest) {
+			id := fmt.Sprintf("v-%s-%d-%d", m.address, n, version)
+			r := j.exchange(f, m, standin.Request{
+				ID: id, Method: http.MethodGet, Host: host, Target: fmt.Sprintf("/version/%d/x", version), Budget: time.Second,
+			}, true)
+			if !m.startTime().Equal(run) {
+				break // Answers of two runs of the process say nothing.
+			}
+			if text := v.answer(version, r.Status, f.newestVersion()); text != "" {
+				j.note("the node at %s %s", m.address, text)
+			}
+		}
+		time.Sleep(versionInterval)
+	}
+}
+
+// versionWatch judges the versions that one run of a node shows.
+type versionWatch struct {
+	run time.Time
+	// highest is the newest version that the run has shown.
+	highest int64
+}
+
+// questions returns the versions to ask for.
+func (v *versionWatch) questions(run time.Time, newest int64) []int64 {
+	if !v.run.Equal(run) {
+		*v = versionWatch{run: run}
+	}
+	if v.highest <= 1 {
+		return []int64{newest}
+	}
+	return []int64{newest, v.highest - 1}
+}
+
+// answer takes the status of a request on the route of a version, and returns
+// what is wrong with it. newest is the version published last by now.
+func (v *versionWatch) answer(version int64, status int, newest int64) string {
+	switch {
+	case status == http.StatusOK && version < v.highest:
+		return fmt.Sprintf("served version %d after version %d", version, v.highest)
+	case status == http.StatusOK:
+		v.highest = version
+	case status == http.StatusNotFound && version == v.highest && newest == version:
+		return fmt.Sprintf("denied version %d after it had served it", version)
+	}
+	return ""
+}
