linker: write what was handed over in a row with one system call

Cause: yamux writes each frame in two pieces, header and body, and a request costs some ten frames at each hop. Every piece was a system call, and system calls are a large part of a node's processor time (26% of the samples of a profile of four nodes under 6,000 requests, 10% in writes alone).

Ruled out: fewer frames for each exchange: head, body and end are already in one message write; opening, window and closing frames are yamux's own.

A batch is bounded at 64 KiB; a full one blocks the writer as a socket does.

--- /dev/null
+++ b/core/linker/batch_test.go
@@ -0,0 +1,114 @@
+package linker
+
+import (
+	"bytes"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// gatedConn takes a write when the test lets it.
+type gatedConn struct {
+	net.Conn
+	gate chan struct{}
+
+	mu     sync.Mutex
+	writes int
+	got    bytes.Buffer
+	err    error
+}
+
+func (c *gatedConn) Write(b []byte) (int, error) {
+	<-c.gate
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.writes++
+	_, _ = c.got.Write(b)
+	return len(b), c.err
+}
+
+func (c *gatedConn) Close() error { return nil }
+
+func (c *gatedConn) state() (writes int, got string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.writes, c.got.String()
+}
+
+func waitFor(t *testing.T, what string, done func() bool) {
+	t.Helper()
+	for end := time.Now().Add(10 * time.Second); !done(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("no %s", what)
+		}
+	}
+}
+
+// Pattern: many exchanges over one link. Guards against a system call for each
+// piece of a frame, and against pieces that are lost or change their order.
+func TestBatchWritesTogether(t *testing.T) {
+	raw := &gatedConn{gate: make(chan struct{})}
+	c := newBatchConn(raw)
+	defer func() { _ = c.Close() }()
+	var want bytes.Buffer
+	for i := range 200 {
+		piece := bytes.Repeat([]byte{byte(i)}, i%7+1)
+		_, _ = want.Write(piece)
+		if _, err := c.Write(piece); err != nil {
+			t.Fatal(err)
+		}
+		clear(piece) // The connection keeps no piece.
+	}
+	close(raw.gate)
+	waitFor(t, "whole content", func() bool { _, got := raw.state(); return got == want.String() })
+	if writes, _ := raw.state(); writes > 2 {
+		t.Errorf("%d writes for 200 pieces, want at most 2", writes)
+	}
+}
+
+// Guards against memory that grows with what a peer doesn't read.
+func TestBatchBlocksWhenFull(t *testing.T) {
+	raw := &gatedConn{gate: make(chan struct{})}
+	c := newBatchConn(raw)
+	written := make(chan int, 64)
+	go func() {
+		defer close(written)
+		for range 40 {
+			n, err := c.Write(make([]byte, 8<<10))
+			if err != nil {
+				return
+			}
+			written <- n
+		}
+	}()
+	time.Sleep(50 * time.Millisecond)
+	// One batch may be with the connection besides the one that waits.
+	if n := len(written) * (8 << 10); n > 2*batchBytes {
+		t.Errorf("%d bytes taken from a writer whose peer reads nothing, want at most %d", n, 2*batchBytes)
+	}
+	if err := c.Close(); err != nil {
+		t.Fatal(err)
+	}
+	for range written { // Ends, because Close frees the writer.
+	}
+	close(raw.gate)
+}
+
+// Guards against a broken connection that goes on taking pieces.
+func TestBatchReturnsErrors(t *testing.T) {
+	broken := errors.New("broken")
+	raw := &gatedConn{gate: make(chan struct{}), err: broken}
+	close(raw.gate)
+	c := newBatchConn(raw)
+	_, _ = c.Write([]byte("a"))
+	waitFor(t, "error", func() bool { _, err := c.Write([]byte("b")); return errors.Is(err, broken) })
+	_ = c.Close()
+	closed := newBatchConn(&gatedConn{gate: make(chan struct{})})
+	_ = closed.Close()
+	if _, err := closed.Write([]byte("c")); !errors.Is(err, net.ErrClosed) {
+		t.Errorf("write after close: %v, want %v", err, net.ErrClosed)
+	}
+}
--- a/core/linker/manager.go
+++ b/core/linker/manager.go
@@ -177,14 +177,14 @@
 
 // start runs the handshake on a new connection and begins to serve it.
 func (m *Manager) start(conn net.Conn, dialed bool) (*Link, error) {
-	counting := &countingConn{Conn: conn}
+	counting := &countingConn{Conn: newBatchConn(conn)}
 	counting.lastRead.Store(time.Now().UnixNano())
 	l := &Link{Dialed: dialed, conn: counting}
 	l.lastUse.Store(time.Now().UnixNano())
 	deadline := time.Now().Add(m.cfg.DialTimeout)
 	_ = conn.SetDeadline(deadline)
 	if err := m.handshake(l, deadline); err != nil {
-		_ = conn.Close()
+		_ = counting.Close()
 		if l.sess != nil {
 			_ = l.sess.Close()
 		}
