linker: abandoned links are reset again

Cause: wrapped the connection of a link, and the type assertion that set SO_LINGER to 0 before an abandoned link is closed no longer matched.

Ruled out: other assertions on the connection (there is no other one).

Before: TestAbandonResets fails, the peer reads EOF. After: it reads a reset. Conclusion: the promise of the README has a test now.

--- a/core/linker/batch.go
+++ b/core/linker/batch.go
@@ -49,6 +49,14 @@
 	return len(b), nil
 }
 
+// DropOnClose makes Close drop also what the kernel has not sent yet. The kernel
+// would otherwise go on sending it for minutes.
+func (c *batchConn) DropOnClose() {
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0) // Without it the connection is closed all the same.
+	}
+}
+
 // Close drops what is still waiting.
 func (c *batchConn) Close() error {
 	c.mu.Lock()
--- a/core/linker/link.go
+++ b/core/linker/link.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"net"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -40,13 +39,13 @@
 
 // countingConn notes when bytes last came in and counts the traffic.
 type countingConn struct {
-	net.Conn
+	*batchConn
 	lastRead      atomic.Int64 // Unix nanoseconds.
 	read, written atomic.Int64
 }
 
 func (c *countingConn) Read(b []byte) (int, error) {
-	n, err := c.Conn.Read(b)
+	n, err := c.batchConn.Read(b)
 	if n > 0 {
 		c.read.Add(int64(n))
 		c.lastRead.Store(time.Now().UnixNano())
@@ -55,7 +54,7 @@
 }
 
 func (c *countingConn) Write(b []byte) (int, error) {
-	n, err := c.Conn.Write(b)
+	n, err := c.batchConn.Write(b)
 	c.written.Add(int64(n))
 	return n, err
 }
@@ -141,8 +140,6 @@
 // Abandon closes the link at once and drops what was not yet sent.
 func (l *Link) Abandon() {
 	l.closed.Store(true)
-	if tcp, ok := l.conn.Conn.(*net.TCPConn); ok {
-		_ = tcp.SetLinger(0)
-	}
+	l.conn.DropOnClose()
 	_ = l.sess.Close()
 }
--- a/core/linker/manager.go
+++ b/core/linker/manager.go
@@ -177,7 +177,7 @@
 
 // start runs the handshake on a new connection and begins to serve it.
 func (m *Manager) start(conn net.Conn, dialed bool) (*Link, error) {
-	counting := &countingConn{Conn: newBatchConn(conn)}
+	counting := &countingConn{batchConn: newBatchConn(conn)}
 	counting.lastRead.Store(time.Now().UnixNano())
 	l := &Link{Dialed: dialed, conn: counting}
 	l.lastUse.Store(time.Now().UnixNano())
--- a/core/linker/manager_test.go
+++ b/core/linker/manager_test.go
@@ -5,9 +5,11 @@
 	"crypto/rand"
 	"net"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/go-logr/logr"
 	"go.uber.org/goleak"
 
@@ -234,3 +236,59 @@
 		t.Errorf("no link after garbage: %v", err)
 	}
 }
+
+// failing tells how reading ended.
+type failing struct {
+	net.Conn
+	ended chan error
+}
+
+func (c *failing) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if err != nil {
+		select {
+		case c.ended <- err:
+		default:
+		}
+	}
+	return n, err
+}
+
+// Guards against an abandoned link whose unsent requests the kernel goes on
+// sending: its peer sees a reset, not an end.
+func TestAbandonResets(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = ln.Close() }()
+	accepting, _ := dialler(t)
+	ended := make(chan error, 1)
+	go func() {
+		conn, err := ln.Accept()
+		if err == nil {
+			_, err = accepting.start(&failing{Conn: conn, ended: ended}, false)
+		}
+		if err != nil {
+			t.Errorf("accept: %v", err)
+		}
+	}()
+	m, _ := dialler(t)
+	conn, err := net.Dial("tcp", ln.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	l, err := m.start(conn, true)
+	if err != nil {
+		t.Fatal(err)
+	}
+	l.Abandon()
+	select {
+	case err := <-ended:
+		if !errors.Is(err, syscall.ECONNRESET) {
+			t.Errorf("the peer read %v, want %v", err, syscall.ECONNRESET)
+		}
+	case <-time.After(10 * time.Second):
+		t.Fatal("the peer did not notice")
+	}
+}
