handler: a request that waited unread has less time left

A gate counts the time that is left from when it reads a request, and the withdrawal comes behind it on the same link, so a request that waits in buffers for a second is run a second late.

Ruled out: the admission queue (bounded by the same deadline); a paused gate (its detector confirms the link first, and the process was not frozen). Not shown: that the request waited in the gate's buffers and not in the sender's.

Before: time left as stated by the sender. After: each Run says when it was sent by the sender's time since boot; the gate keeps the smallest difference to its own clock and takes what is above it off the time left (the estimate of LEDBAT, RFC 6817; clocks go on while a machine is suspended, so a suspended sender isn't late for good). A request without time left is refused, not run.

--- a/core/linker/link.go
+++ b/core/linker/link.go
@@ -61,6 +61,8 @@
 
 // Link is a live session with one peer. It is safe for concurrent use.
 type Link struct {
+	// Lateness is that of the requests that come in on this link.
+	Lateness detector.Lateness
 	// Dialed is true when this node opened the link.
 	Dialed bool
 	// Since is when the handshake ended.
--- a/core/linker/manager.go
+++ b/core/linker/manager.go
@@ -14,6 +14,7 @@
 
 	"crocustack/core/detector"
 	"crocustack/core/encoder"
+	"crocustack/core/timekeeper"
 )
 
 // Linger is how long a node should wait after its last answer before it closes
@@ -76,6 +77,9 @@
 
 // New returns a manager that hands what comes in to h.
 func New(cfg Config, log logr.Logger, h Handler) *Manager {
+	if timekeeper.SinceBoot() == 0 {
+		log.Info("uptime of the machine unknown; requests that come late count as fresh")
+	}
 	return &Manager{cfg: cfg, log: log, handler: h, links: make(map[string]*Link), all: make(map[*Link]struct{}), done: make(chan struct{})}
 }
 
--- a/crocusd/internal/forwarder/try.go
+++ b/crocusd/internal/forwarder/try.go
@@ -10,6 +10,7 @@
 	"crocustack/core/recorder"
 	"crocustack/core/resolver"
 	"crocustack/core/router"
+	"crocustack/core/timekeeper"
 	"crocustack/crocusd/internal/handler"
 	"crocustack/crocusd/internal/tracer"
 )
@@ -136,6 +137,7 @@
 		Again:           t.loop.reached() > 0,
 		RepeatedTree:    q.RepeatedTree,
 		AppliedLevel:    q.AppliedLevel,
+		SentMicros:      uint64(timekeeper.SinceBoot().Microseconds()),
 	}
 	if q.Ticket != nil {
 		t.run.Ticket = q.Ticket.Message()
--- a/crocusd/internal/handler/handler.go
+++ b/crocusd/internal/handler/handler.go
@@ -141,14 +141,18 @@
 }
 
 func (h *Handler) serveRun(l *linker.Link, s *linker.Stream, m *encoder.Run) {
+	late := lateness(&l.Lateness, m, timekeeper.SinceBoot())
+	ctx, cancel := context.WithTimeout(context.Background(), remaining(m, late))
+	defer cancel()
 	body, err := h.readBody(s, m)
 	if err != nil {
 		h.refuse(s, m, resolver.ReasonBodyTooLarge, m.GetAllowance())
 		return
 	}
-	remaining := time.Duration(min(m.GetRemainingMicros(), maxRemainingMicros)) * time.Microsecond
-	ctx, cancel := context.WithTimeout(context.Background(), remaining)
-	defer cancel()
+	if ctx.Err() != nil {
+		h.refuse(s, m, resolver.ReasonDeadlineExceeded, m.GetAllowance())
+		return
+	}
 	gone := senderGone(s)
 	if h.pause.SuspectSince(h.clock.Now(), h.clock.At(l.LastRoundTrip())) && !h.confirm(l, gone) {
 		return
@@ -162,6 +166,20 @@
 // maxRemainingMicros bounds the time that a sender may ask for to one hour.
 const maxRemainingMicros = 3600 * 1e6
 
+// lateness is how long a request that is read at now waited on its way.
+func lateness(l *detector.Lateness, m *encoder.Run, now time.Duration) time.Duration {
+	if m.GetSentMicros() == 0 || now == 0 {
+		return 0 // One of the two machines doesn't know its time.
+	}
+	return l.Observe(now, time.Duration(m.GetSentMicros())*time.Microsecond)
+}
+
+// remaining is the time that is left for a request which came late.
+func remaining(m *encoder.Run, late time.Duration) time.Duration {
+	stated := time.Duration(min(m.GetRemainingMicros(), maxRemainingMicros)) * time.Microsecond
+	return max(stated-late, 0)
+}
+
 // errBody says that the body of a Run was larger than allowed or cut short.
 var errBody = errors.New("request body is too large or cut short")
 
