--- a/crocusfake/internal/soaker/faults.go
+++ b/crocusfake/internal/soaker/faults.go
@@ -17,6 +17,24 @@
 	run  func(f *fleet, m *machine, lasts time.Duration) error
 }
 
+// lasting is a fault that is switched on and, when its time is over, off again.
+func lasting(set func(f *fleet, m *machine, on bool)) func(*fleet, *machine, time.Duration) error {
+	return func(f *fleet, m *machine, d time.Duration) error {
+		set(f, m, true)
+		time.Sleep(d)
+		set(f, m, false)
+		return nil
+	}
+}
+
+// delayIf is the delay of a relay while a fault is on.
+func delayIf(on bool, d time.Duration) time.Duration {
+	if !on {
+		return 0
+	}
+	return d
+}
+
 // basicFaults and further ones are the look-up table; its order and length are
 // part of what a seed means. Seeds that failed with the basic ones alone are
 // repeated with these.
@@ -35,12 +53,7 @@
 		m.signal(syscall.SIGHUP)
 		return err
 	}},
-	{"delay links", func(_ *fleet, m *machine, d time.Duration) error {
-		m.relay.SetDelay(200 * time.Millisecond)
-		time.Sleep(d)
-		m.relay.SetDelay(0)
-		return nil
-	}},
+	{"delay links", lasting(func(_ *fleet, m *machine, on bool) { m.relay.SetDelay(delayIf(on, 200*time.Millisecond)) })},
 	{"silence links", func(_ *fleet, m *machine, _ time.Duration) error { m.relay.Silence(); return nil }},
 	{"block links", func(_ *fleet, m *machine, d time.Duration) error {
 		m.relay.SetBlocked(true)
@@ -50,21 +63,13 @@
 		return nil
 	}},
 	{"close links", func(_ *fleet, m *machine, _ time.Duration) error { m.relay.CloseConnections(); return nil }},
-	{"store down", func(f *fleet, _ *machine, d time.Duration) error {
-		f.store.SetDown(true)
-		time.Sleep(d)
-		f.store.SetDown(false)
-		return nil
-	}},
+	{"store down", lasting(func(f *fleet, _ *machine, on bool) { f.store.SetDown(on) })},
 	{"store forgets", func(f *fleet, _ *machine, _ time.Duration) error { f.store.Compact(); return nil }},
 	{"new configuration", func(f *fleet, _ *machine, _ time.Duration) error { f.publish(); return nil }},
 	{"shed", func(_ *fleet, m *machine, _ time.Duration) error { m.backend.Shed(20); return nil }},
-	{"drain", func(f *fleet, m *machine, d time.Duration) error {
-		f.register(m, func(e *connector.Member) { e.Draining = true })
-		time.Sleep(d)
-		f.register(m, func(e *connector.Member) { e.Draining = false })
-		return nil
-	}},
+	{"drain", lasting(func(f *fleet, m *machine, on bool) {
+		f.register(m, func(e *connector.Member) { e.Draining = on })
+	})},
 	{"replace", func(f *fleet, m *machine, d time.Duration) error {
 		m.mu.Lock()
 		old := m.entry.Instance
@@ -81,30 +86,10 @@
 // allFaults adds those of single machines' ways: one direction of the links, the
 // way to the store, and answers of the backend server.
 var allFaults = append(slices.Clip(basicFaults), []fault{
-	{"cut links one way", func(_ *fleet, m *machine, d time.Duration) error {
-		m.relay.SetOneWay(true)
-		time.Sleep(d)
-		m.relay.SetOneWay(false)
-		return nil
-	}},
-	{"cut from the store", func(_ *fleet, m *machine, d time.Duration) error {
-		m.toStore.SetBlocked(true)
-		time.Sleep(d)
-		m.toStore.SetBlocked(false)
-		return nil
-	}},
-	{"hear the store no more", func(_ *fleet, m *machine, d time.Duration) error {
-		m.toStore.SetOneWay(true)
-		time.Sleep(d)
-		m.toStore.SetOneWay(false)
-		return nil
-	}},
-	{"slow store", func(_ *fleet, m *machine, d time.Duration) error {
-		m.toStore.SetDelay(250 * time.Millisecond)
-		time.Sleep(d)
-		m.toStore.SetDelay(0)
-		return nil
-	}},
+	{"cut links one way", lasting(func(_ *fleet, m *machine, on bool) { m.relay.SetOneWay(on) })},
+	{"cut from the store", lasting(func(_ *fleet, m *machine, on bool) { m.toStore.SetBlocked(on) })},
+	{"hear the store no more", lasting(func(_ *fleet, m *machine, on bool) { m.toStore.SetOneWay(on) })},
+	{"slow store", lasting(func(_ *fleet, m *machine, on bool) { m.toStore.SetDelay(delayIf(on, 250*time.Millisecond)) })},
 	{"reset the store's connections", func(_ *fleet, m *machine, _ time.Duration) error { m.toStore.CloseConnections(); return nil }},
 	{"lose answers", func(_ *fleet, m *machine, d time.Duration) error {
 		m.backend.Lose(true)
