soaker: tell a hangup at the start by when it was sent

It had not run a line of its own, and ended when it was resumed, 1.74 s after its start; the check looked at the time of the end alone.

Ruled out: a node that had caught the signal (it logged no start after that).

Before: excused when it ended within a second of its start. That a signal was sent at all is now needed too.

--- a/crocusfake/internal/soaker/fleet.go
+++ b/crocusfake/internal/soaker/fleet.go
@@ -42,9 +42,9 @@
 	// entry is what the store holds of the backend server.
 	entry connector.Member
 	cmd   *exec.Cmd
-	// started is when cmd was started.
-	started time.Time
-	ended   chan struct{}
+	// life holds the times that tell how cmd may end.
+	life  life
+	ended chan struct{}
 	// stopping is true when the process was asked to end, so that its end is no
 	// fault of its own.
 	stopping bool
@@ -190,7 +190,7 @@
 	if err := m.cmd.Start(); err != nil {
 		return errors.Wrap(err, "start node")
 	}
-	m.started = time.Now()
+	m.life = life{started: time.Now()}
 	go f.wait(m, m.cmd, m.ended)
 	return nil
 }
@@ -218,7 +218,7 @@
 	err := cmd.Wait()
 	m.mu.Lock()
 	asked := m.stopping
-	early := hungUpAtStart(cmd.ProcessState, time.Since(m.started))
+	early := m.life.hungUpAtStart(cmd.ProcessState, time.Now())
 	m.mu.Unlock()
 	if !asked && !early {
 		f.mu.Lock()
@@ -237,18 +237,6 @@
 	}
 }
 
-// startWindow is how long after its start a process may be ended by SIGHUP. The
-// platform's rules count no end within a second of a disruption on the machine,
-// and no program can catch a signal that comes before its first instruction.
-const startWindow = time.Second
-
-// hungUpAtStart tells whether a process was ended by SIGHUP while it started. The
-// platform starts it again with the settings that the signal announced.
-func hungUpAtStart(s *os.ProcessState, age time.Duration) bool {
-	ws, ok := s.Sys().(syscall.WaitStatus)
-	return ok && ws.Signaled() && ws.Signal() == syscall.SIGHUP && age < startWindow
-}
-
 // signal sends a signal to the node's process, if it runs. Signals that end it
 // are noted.
 func (m *machine) signal(s syscall.Signal) {
@@ -257,8 +245,16 @@
 	if !m.running() {
 		return
 	}
-	if s == syscall.SIGKILL || s == syscall.SIGTERM {
+	switch s {
+	case syscall.SIGKILL, syscall.SIGTERM:
 		m.stopping = true
+	case syscall.SIGCONT:
+		m.life.resumed = time.Now()
+	case syscall.SIGHUP:
+		if m.life.hungUp.IsZero() {
+			m.life.hungUp = time.Now()
+		}
+	default:
 	}
 	_ = m.cmd.Process.Signal(s) // It may have ended already.
 }
@@ -274,7 +270,7 @@
 func (m *machine) startTime() time.Time {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.started
+	return m.life.started
 }
 
 func (f *fleet) newestVersion() int64 {
