linker: sessions of go-yamux, whose readers don't spin while a link closes

Cause: Stream.Read of hashicorp/yamux 0.1.2 goes round without a pause from the time when its session begins to close until the receive loop has ended. Change: github.com/libp2p/go-yamux/v5 5.1.0, same frames on the wire. Each of its limits is set on purpose (accept backlog, incoming streams, windows that don't grow, frame size, no keep-alive). Its Ping joins a ping under way, which proves nothing about the time since the call, so Probe and RoundTrip are now two calls and RoundTrip counts only a ping that began after it. Its write deadline belongs to the writer and would end a later system call of the batch, so batchConn sets the deadline of each system call. The library's own coalescing is commented out in 5.1.0: batch.go stays. A gate that refuses a request before reading its body now ends the sender's writes and still gives its answer (CloseUnread). Broadcast logs an error of SendControl and closes a link whose control stream has failed.

--- a/core/encoder/framer.go
+++ b/core/encoder/framer.go
@@ -21,6 +21,10 @@
 
 var buffers = sync.Pool{New: func() any { return new(bytes.Buffer) }}
 
+// ErrUnencodable means that a message can't be encoded and that nothing was
+// written, for instance because a string is not valid UTF-8.
+var ErrUnencodable = errors.New("message can't be encoded")
+
 // Write writes all messages in a single call of w.Write, because each call
 // becomes one frame of the link.
 func Write(w io.Writer, ms ...proto.Message) error {
@@ -29,7 +33,7 @@
 	b.Reset()
 	for _, m := range ms {
 		if _, err := protodelim.MarshalTo(b, m); err != nil {
-			return errors.Wrap(err, "encode message")
+			return errors.Mark(errors.Wrap(err, "encode message"), ErrUnencodable)
 		}
 	}
 	_, err := w.Write(b.Bytes())
--- a/core/linker/batch.go
+++ b/core/linker/batch.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"sync"
+	"time"
 )
 
 // batchBytes bounds the bytes that are buffered for the next write. When the
@@ -10,11 +11,13 @@
 const batchBytes = 64 << 10
 
 // batchConn coalesces writes: it buffers them and writes the buffer with one
-// system call. A frame is written in two or more pieces, and frames of many
+// system call. The session writes each frame on its own, and frames of many
 // exchanges are written at about the same time. A write error is returned by the
 // next call of Write.
 type batchConn struct {
 	net.Conn
+	// writeTimeout bounds one system call.
+	writeTimeout time.Duration
 
 	mu sync.Mutex
 	// changed is signalled when buffered, err or closed changes.
@@ -26,8 +29,8 @@
 	closed   bool
 }
 
-func newBatchConn(conn net.Conn) *batchConn {
-	c := &batchConn{Conn: conn}
+func newBatchConn(conn net.Conn, writeTimeout time.Duration) *batchConn {
+	c := &batchConn{Conn: conn, writeTimeout: writeTimeout}
 	c.changed.L = &c.mu
 	go c.flushLoop()
 	return c
@@ -51,6 +54,10 @@
 	return len(b), nil
 }
 
+// SetWriteDeadline does nothing: a deadline set by the writer would end a system
+// call that began later. Each system call has writeTimeout instead.
+func (c *batchConn) SetWriteDeadline(time.Time) error { return nil }
+
 // ResetOnClose makes Close discard the data that the kernel has not sent yet and
 // reset the connection. The kernel would otherwise go on sending it for minutes.
 func (c *batchConn) ResetOnClose() {
@@ -83,7 +90,10 @@
 		batch := c.buffered
 		c.buffered = spare[:0]
 		c.mu.Unlock()
-		_, err := c.Conn.Write(batch)
+		err := c.Conn.SetWriteDeadline(time.Now().Add(c.writeTimeout))
+		if err == nil {
+			_, err = c.Conn.Write(batch)
+		}
 		c.mu.Lock()
 		spare = batch
 		c.changed.Broadcast()
--- a/core/linker/batch_test.go
+++ b/core/linker/batch_test.go
@@ -32,6 +32,8 @@
 
 func (c *blockedConn) Close() error { return nil }
 
+func (c *blockedConn) SetWriteDeadline(time.Time) error { return nil }
+
 func (c *blockedConn) state() (writes int, got string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -52,7 +54,7 @@
 // reordered.
 func TestBatchWritesTogether(t *testing.T) {
 	raw := &blockedConn{unblock: make(chan struct{})}
-	c := newBatchConn(raw)
+	c := newBatchConn(raw, time.Minute)
 	defer func() { _ = c.Close() }()
 	var want bytes.Buffer
 	for i := range 200 {
@@ -74,7 +76,7 @@
 // the peer doesn't read.
 func TestBatchBlocksWhenFull(t *testing.T) {
 	raw := &blockedConn{unblock: make(chan struct{})}
-	c := newBatchConn(raw)
+	c := newBatchConn(raw, time.Minute)
 	written := make(chan int, 64)
 	go func() {
 		defer close(written)
@@ -105,11 +107,11 @@
 	broken := errors.New("broken")
 	raw := &blockedConn{unblock: make(chan struct{}), err: broken}
 	close(raw.unblock)
-	c := newBatchConn(raw)
+	c := newBatchConn(raw, time.Minute)
 	_, _ = c.Write([]byte("a"))
 	waitFor(t, "error", func() bool { _, err := c.Write([]byte("b")); return errors.Is(err, broken) })
 	_ = c.Close()
-	closed := newBatchConn(&blockedConn{unblock: make(chan struct{})})
+	closed := newBatchConn(&blockedConn{unblock: make(chan struct{})}, time.Minute)
 	_ = closed.Close()
 	if _, err := closed.Write([]byte("c")); !errors.Is(err, net.ErrClosed) {
 		t.Errorf("write after close: %v, want %v", err, net.ErrClosed)
--- a/core/linker/link.go
+++ b/core/linker/link.go
@@ -2,12 +2,13 @@
 
 import (
 	"bufio"
+	"context"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"github.com/hashicorp/yamux"
+	"github.com/libp2p/go-yamux/v5"
 	"google.golang.org/protobuf/proto"
 
 	"crocustack/core/detector"
@@ -39,6 +40,16 @@
 // received cancels the exchange.
 func (s *Stream) Close() error { return s.conn.Close() }
 
+// CloseUnread closes a stream whose peer may still be sending. The peer can read
+// what was sent before; its own sends fail from now on, where after Close they
+// would wait for a receive window that is never granted.
+func (s *Stream) CloseUnread() error {
+	if err := s.conn.CloseWrite(); err != nil {
+		return errors.Wrap(err, "close write side")
+	}
+	return errors.Wrap(s.conn.Reset(), "reset read side")
+}
+
 // countingConn counts the bytes read and written, and records the time of the
 // last read.
 type countingConn struct {
@@ -106,14 +117,15 @@
 // Closed reports whether the link can no longer be used.
 func (l *Link) Closed() bool { return l.closed.Load() || l.sess.IsClosed() }
 
-// OpenStream opens a stream for one exchange. An error means that nothing was
-// sent. If there is no error, the caller must call EndExchange exactly once,
-// when it no longer waits for the peer.
-func (l *Link) OpenStream() (*Stream, error) {
+// OpenStream opens a stream for one exchange. It waits while the peer has not
+// accepted acceptBacklog earlier ones, until ctx is done. An error means that
+// nothing was sent. If there is no error, the caller must call EndExchange
+// exactly once, when it no longer waits for the peer.
+func (l *Link) OpenStream(ctx context.Context) (*Stream, error) {
 	if l.Closed() {
 		return nil, errors.New("link is closed")
 	}
-	conn, err := l.sess.OpenStream()
+	conn, err := l.sess.OpenStream(ctx)
 	if err != nil {
 		return nil, errors.Wrap(err, "open stream")
 	}
@@ -132,11 +144,22 @@
 	return l.control.Send(m)
 }
 
-// Ping sends a probe and waits for the reply.
-func (l *Link) Ping() error {
+// Probe sends a probe and waits for the reply, or for the reply to a probe that
+// is already under way.
+func (l *Link) Probe() error {
+	_, err := l.sess.Ping()
+	return errors.Wrap(err, "probe")
+}
+
+// RoundTrip completes a round trip that begins after the call. A probe that was
+// under way may have been answered long ago, with the reply waiting unread in
+// this process, so the round trip that counts begins after its end.
+func (l *Link) RoundTrip() error {
 	start := time.Now()
-	if _, err := l.sess.Ping(); err != nil {
-		return errors.Wrap(err, "ping")
+	for range 2 {
+		if err := l.Probe(); err != nil {
+			return err
+		}
 	}
 	l.lastRoundTrip.Store(&start)
 	return nil
--- a/core/linker/manager.go
+++ b/core/linker/manager.go
@@ -9,7 +9,7 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/go-logr/logr"
-	"github.com/hashicorp/yamux"
+	"github.com/libp2p/go-yamux/v5"
 	"golang.org/x/sync/singleflight"
 
 	"crocustack/core/detector"
@@ -147,11 +147,17 @@
 	return ls
 }
 
-// Broadcast sends a control message on all links. It ignores errors: a link that
-// was closed in the meantime has no peer to notify.
+// Broadcast sends a control message on all links. A link that was closed in the
+// meantime has no peer to notify; any other link that fails is closed, so that
+// its peer learns of the message at the next handshake or finds this node gone.
 func (m *Manager) Broadcast(c *encoder.Control) {
 	for _, l := range m.Links() {
-		_ = l.SendControl(c)
+		err := l.SendControl(c)
+		if err == nil || l.Closed() {
+			continue
+		}
+		m.log.Info("control message not sent, link closed", "Peer", l.Address(), "Error", err.Error())
+		l.Abandon()
 	}
 }
 
@@ -169,11 +175,34 @@
 	m.wg.Wait()
 }
 
-func (m *Manager) yamuxConfig() *yamux.Config {
+const (
+	// acceptBacklog is the number of streams that the peer may open before this
+	// side has accepted them; further ones are reset. The opening side waits at
+	// the same number, so that a reset means that the peer breaks this rule.
+	acceptBacklog = 256
+	// maxIncomingStreams bounds the exchanges that one peer may have open here.
+	// Together with streamWindow it bounds what a peer can make this node hold.
+	maxIncomingStreams = 2048
+	// streamWindow is the number of bytes that a peer may send on a stream
+	// before this side has read them. It doesn't grow.
+	streamWindow = 256 << 10
+	// frameBytes is the largest frame sent. It lets one large body delay the
+	// frames of other exchanges by no more than its own sending time.
+	frameBytes = 64 << 10
+	// roundTripInterval is the interval at which the session measures the round
+	// trip time, which it needs only to grow windows. It can't be turned off.
+	roundTripInterval = 24 * time.Hour
+)
+
+func (m *Manager) sessionConfig() *yamux.Config {
 	c := yamux.DefaultConfig()
 	c.EnableKeepAlive = false
-	c.StreamOpenTimeout = 0
-	c.StreamCloseTimeout = 10 * time.Second
+	c.MeasureRTTInterval = roundTripInterval
+	c.AcceptBacklog = acceptBacklog
+	c.MaxIncomingStreams = maxIncomingStreams
+	c.InitialStreamWindowSize = streamWindow
+	c.MaxStreamWindowSize = streamWindow
+	c.MaxMessageSize = frameBytes
 	c.ConnectionWriteTimeout = m.cfg.SilentAfter + m.cfg.AbandonAfter
 	c.LogOutput = io.Discard
 	return c
@@ -182,7 +211,7 @@
 // start performs the handshake on a new connection and starts the goroutines
 // that serve the link.
 func (m *Manager) start(conn net.Conn, dialed bool) (*Link, error) {
-	counting := &countingConn{batchConn: newBatchConn(conn)}
+	counting := &countingConn{batchConn: newBatchConn(conn, m.cfg.SilentAfter+m.cfg.AbandonAfter)}
 	counting.lastRead.Store(time.Now().UnixNano())
 	l := &Link{Dialed: dialed, conn: counting}
 	l.lastUse.Store(time.Now().UnixNano())
@@ -213,12 +242,14 @@
 	var err error
 	var conn *yamux.Stream
 	if l.Dialed {
-		if l.sess, err = yamux.Client(l.conn, m.yamuxConfig()); err != nil {
+		if l.sess, err = yamux.Client(l.conn, m.sessionConfig(), nil); err != nil {
 			return errors.Wrap(err, "open session")
 		}
-		conn, err = l.sess.OpenStream()
+		ctx, cancel := context.WithDeadline(context.Background(), deadline)
+		defer cancel()
+		conn, err = l.sess.OpenStream(ctx)
 	} else {
-		if l.sess, err = yamux.Server(l.conn, m.yamuxConfig()); err != nil {
+		if l.sess, err = yamux.Server(l.conn, m.sessionConfig(), nil); err != nil {
 			return errors.Wrap(err, "open session")
 		}
 		conn, err = l.sess.AcceptStream()
@@ -330,7 +361,7 @@
 	switch l.monitor.Decide(now, l.Pending() > 0) {
 	case detector.ActionNone:
 	case detector.ActionProbe:
-		go func() { _ = l.Ping() }()
+		go func() { _ = l.Probe() }() // Its reply counts as a read.
 	case detector.ActionAbandon:
 		m.log.Info("link abandoned", "Peer", l.Address(), "Pending", l.Pending())
 		l.closed.Store(true)
--- a/core/linker/manager_test.go
+++ b/core/linker/manager_test.go
@@ -140,7 +140,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	s, err := l.OpenStream()
+	s, err := l.OpenStream(context.Background())
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -188,7 +188,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	s, err := l.OpenStream()
+	s, err := l.OpenStream(context.Background())
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/core/linker/monitor_test.go
+++ b/core/linker/monitor_test.go
@@ -104,7 +104,7 @@
 			t.Fatal(err)
 		}
 		// Only a link with a pending exchange is probed.
-		if _, err := l.OpenStream(); err != nil {
+		if _, err := l.OpenStream(context.Background()); err != nil {
 			t.Fatal(err)
 		}
 	}
--- /dev/null
+++ b/core/linker/stream_test.go
@@ -0,0 +1,177 @@
+package linker
+
+import (
+	"bytes"
+	"context"
+	"encoding/binary"
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"crocustack/core/encoder"
+)
+
+// refusingPeer answers every stream after its first message and leaves the rest
+// unread.
+type refusingPeer struct{ echoPeer }
+
+func (p *refusingPeer) Stream(_ *Link, s *Stream) {
+	m := &encoder.Request{}
+	if s.Receive(m) == nil && s.Send(m) == nil {
+		_ = s.CloseUnread()
+	}
+}
+
+// TestEarlyAnswerEndsSending guards against a sender that goes on waiting for a
+// receive window until its deadline although the peer has answered and reads no
+// more, and against losing the answer.
+func TestEarlyAnswerEndsSending(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	remote := New(testConfig, logr.Discard(), &refusingPeer{echoPeer{address: ln.Addr().String(), closed: make(chan struct{}, 1)}})
+	go func() { _ = remote.Serve(ln) }()
+	t.Cleanup(func() {
+		_ = ln.Close()
+		remote.Close()
+	})
+	m, _ := newDialer(t)
+	l, err := m.Get(context.Background(), ln.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := openForTest(t, l)
+	const patience = 20 * time.Second
+	began := time.Now()
+	_ = s.SetDeadline(began.Add(patience))
+	for err = s.Send(&encoder.Request{}); err == nil; {
+		err = s.Send(&encoder.Chunk{Data: make([]byte, encoder.ChunkBytes)})
+	}
+	if took := time.Since(began); took > patience/2 {
+		t.Errorf("sending ended after %v with %v, want an error soon after the answer", took, err)
+	}
+	if err := s.Receive(&encoder.Request{}); err != nil {
+		t.Errorf("answer lost: %v", err)
+	}
+}
+
+// A yamux header has 12 bytes: version, type, flags, stream ID and length.
+const headerBytes = 12
+
+// Types and flags of yamux frames that the tests send themselves.
+const (
+	typeData = 0
+	typePing = 2
+	flagSYN  = 1
+	flagACK  = 2
+)
+
+// pingFrame returns a ping frame with the given flags and ID.
+func pingFrame(flags uint16, id uint32) []byte {
+	b := make([]byte, headerBytes)
+	b[1] = typePing
+	binary.BigEndian.PutUint16(b[2:], flags)
+	binary.BigEndian.PutUint32(b[8:], id)
+	return b
+}
+
+// heldPingConn reports the ID of each ping request that is written, and holds
+// the write back until it receives from release.
+type heldPingConn struct {
+	net.Conn
+	release chan struct{}
+	sent    chan uint32
+}
+
+func (c *heldPingConn) Write(b []byte) (int, error) {
+	for rest := b; len(rest) >= headerBytes; {
+		length := binary.BigEndian.Uint32(rest[8:])
+		frameLength := headerBytes
+		if rest[1] == typeData {
+			frameLength += int(length)
+		}
+		if bytes.Equal(rest[:headerBytes], pingFrame(flagSYN, length)) {
+			c.sent <- length
+			<-c.release
+		}
+		rest = rest[min(frameLength, len(rest)):]
+	}
+	return c.Conn.Write(b)
+}
+
+// TestRoundTripBeginsAfterCall guards against a round trip that counts although
+// its probe was sent before the call: its reply may have waited unread while
+// this process was paused, and proves nothing about the time since.
+func TestRoundTripBeginsAfterCall(t *testing.T) {
+	remote := startEchoPeer(t)
+	raw, err := net.Dial("tcp", remote.address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	c := &heldPingConn{Conn: raw, release: make(chan struct{}), sent: make(chan uint32, 16)}
+	m, _ := newDialer(t)
+	started := make(chan *Link)
+	go func() {
+		l, err := m.start(c, true)
+		if err != nil {
+			t.Errorf("start link: %v", err)
+		}
+		started <- l
+	}()
+	first := <-c.sent // The session measures its round trip time once.
+	c.release <- struct{}{}
+	l := <-started
+	if l == nil {
+		return
+	}
+	waitFor(t, "end of the first probe", func() bool { return l.sess.RTT() > 0 })
+	probe := make(chan error, 1)
+	go func() { probe <- l.Probe() }()
+	early := <-c.sent // Under way before RoundTrip is called.
+	trip := make(chan error, 1)
+	go func() { trip <- l.RoundTrip() }()
+	time.Sleep(20 * time.Millisecond) // RoundTrip may join the probe under way.
+	c.release <- struct{}{}
+	select {
+	case err := <-trip:
+		t.Fatalf("round trip ended with %v before a probe of its own was sent", err)
+	case late := <-c.sent:
+		if late == first || late == early {
+			t.Errorf("probe %d sent again", late)
+		}
+	}
+	close(c.release)
+	if err := <-trip; err != nil {
+		t.Errorf("round trip: %v", err)
+	}
+	if err := <-probe; err != nil {
+		t.Errorf("probe: %v", err)
+	}
+}
+
+// FuzzLinkBytes guards against bytes on a link that end the process, leave a
+// goroutine behind or open a link without a handshake.
+func FuzzLinkBytes(f *testing.F) {
+	f.Add([]byte{0, 1, 0, 1, 0, 0, 0, 1, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 1, 0, 0, 0, 2, 1, 7})
+	f.Add(append(pingFrame(flagSYN, 1), pingFrame(flagACK, 9)...))
+	f.Add([]byte{0, 3, 0, 0, 0, 0, 0, 0, 0, 0, 0, 9})
+	f.Add([]byte{0, 0, 0, 9, 0, 0, 0, 1, 0xff, 0xff, 0xff, 0xff, 1, 2, 3})
+	f.Fuzz(func(t *testing.T, in []byte) {
+		here, there := net.Pipe()
+		go func() { _, _ = io.Copy(io.Discard, there) }()
+		go func() {
+			_, _ = there.Write(in)
+			_ = there.Close()
+		}()
+		p := &echoPeer{address: "127.0.0.1:1", closed: make(chan struct{}, 1)}
+		m := New(testConfig, logr.Discard(), p)
+		if l, err := m.start(here, false); err == nil && l.Address() == "" {
+			t.Error("link opened without the address of the peer")
+		}
+		m.Close()
+	})
+}
--- a/crocusd/internal/forwarder/attempt.go
+++ b/crocusd/internal/forwarder/attempt.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"crocustack/core/encoder"
 	"crocustack/core/linker"
 	"crocustack/core/recorder"
@@ -38,7 +40,7 @@
 	if p.q.Ticket != nil && l.Peer().GetIncarnation().GetBootId() != p.q.Ticket.Home.BootID {
 		return t.foreignTicket()
 	}
-	s, err := l.OpenStream()
+	s, err := l.OpenStream(ctx)
 	if err != nil {
 		return resolver.NothingWritten{Reason: resolver.ReasonNoLink}
 	}
@@ -70,7 +72,9 @@
 	p.f.router.Start(started, p.q.Service, t.upstream.Address)
 	var got received
 	err := sendRun(s, t.run, p.q.Body)
-	if err == nil {
+	// A gate that refuses a request early stops reading it, so there may be an
+	// answer although the request was not sent completely.
+	if !errors.Is(err, encoder.ErrUnencodable) {
 		got, err = receiveAnswer(s, t.run.GetId(), p.f.cfg.HoldAnswerBytes, p.sink)
 	}
 	event := eventOf(got, err)
--- a/crocusd/internal/forwarder/tickets.go
+++ b/crocusd/internal/forwarder/tickets.go
@@ -109,7 +109,7 @@
 	if err != nil {
 		return nil, 0, err
 	}
-	s, err := l.OpenStream()
+	s, err := l.OpenStream(ctx)
 	if err != nil {
 		return nil, 0, err
 	}
@@ -146,7 +146,7 @@
 	if l.Peer().GetIncarnation().GetBootId() != target.GetBootId() {
 		return resolver.VoidForeign{}
 	}
-	s, err := l.OpenStream()
+	s, err := l.OpenStream(ctx)
 	if err != nil {
 		return resolver.VoidFailed{}
 	}
--- a/crocusd/internal/handler/handler.go
+++ b/crocusd/internal/handler/handler.go
@@ -150,6 +150,7 @@
 	body, err := h.readBody(s, m)
 	if err != nil {
 		h.refuse(s, m, resolver.ReasonBodyTooLarge, m.GetAllowance())
+		_ = s.CloseUnread() // The stream or its link may have failed already.
 		return
 	}
 	if ctx.Err() != nil {
@@ -223,7 +224,7 @@
 // abandoned the request during the pause; it has then closed the stream or the
 // link, and confirmLink returns false.
 func (h *Handler) confirmLink(l *linker.Link, gone <-chan struct{}) bool {
-	if err := l.Ping(); err != nil {
+	if err := l.RoundTrip(); err != nil {
 		return false
 	}
 	select {
--- a/crocusfake/internal/meter/peer.go
+++ b/crocusfake/internal/meter/peer.go
@@ -53,13 +53,13 @@
 	g, ctx := errgroup.WithContext(ctx)
 	g.SetLimit(concurrency)
 	for seq := from + 1; seq <= to && ctx.Err() == nil; seq++ {
-		g.Go(func() error { return p.sendRun(l, uint64(seq)) })
+		g.Go(func() error { return p.sendRun(ctx, l, uint64(seq)) })
 	}
 	return g.Wait()
 }
 
-func (p *peer) sendRun(l *linker.Link, seq uint64) error {
-	s, err := l.OpenStream()
+func (p *peer) sendRun(ctx context.Context, l *linker.Link, seq uint64) error {
+	s, err := l.OpenStream(ctx)
 	if err != nil {
 		return err
 	}
