bodyreader: request bodies of both listeners share one budget

Cause: the platform's listener allocated the length that a client stated, up to the 64 MB that a configuration may allow, without any bound on all bodies together and without a time limit: four such clients exceed the memory of a 184 MB node. The project's own listener had a budget but acquired it by the stated length, so that clients which send nothing used it up. Headers were bounded by 1 MB each. Change: core/bodyreader serves both listeners: the budget is acquired in steps as bytes arrive, and a body is awaited until the time budget of its request.

--- a/crocusd/internal/listener/listener.go
+++ b/crocusd/internal/listener/listener.go
@@ -19,6 +19,9 @@
 	Idle time.Duration
 }
 
+// maxHeaderBytes bounds the header of a request.
+const maxHeaderBytes = 64 << 10
+
 // Serve listens on the address and serves h in the background until the
 // returned server is shut down or closed.
 func Serve(log logr.Logger, address string, h http.Handler, t Timeouts) (*http.Server, error) {
@@ -26,7 +29,7 @@
 	if err != nil {
 		return nil, errors.Wrapf(err, "listen on %s", address)
 	}
-	s := &http.Server{Handler: h, ReadHeaderTimeout: t.Header, IdleTimeout: t.Idle}
+	s := &http.Server{Handler: h, ReadHeaderTimeout: t.Header, IdleTimeout: t.Idle, MaxHeaderBytes: maxHeaderBytes}
 	go func() {
 		if err := s.Serve(ln); err != nil && !errors.Is(err, http.ErrServerClosed) {
 			log.Error(err, "HTTP listener failed", "Address", address)
--- a/crocusd/internal/server/server.go
+++ b/crocusd/internal/server/server.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"io"
 	"net/http"
 	"strconv"
 	"sync/atomic"
@@ -13,8 +12,8 @@
 	"github.com/cockroachdb/errors"
 	"github.com/google/uuid"
 	"github.com/gorilla/mux"
-	"golang.org/x/sync/semaphore"
 
+	"crocustack/core/bodyreader"
 	"crocustack/core/budgeter"
 	"crocustack/core/classifier"
 	"crocustack/core/gatekeeper"
@@ -46,14 +45,14 @@
 	forward  Forwarder
 	runs     *tracer.Registry
 	rec      *recorder.Recorder
-	buffer   *semaphore.Weighted
+	bodies   *bodyreader.Reader
 	active   atomic.Int64
 	draining atomic.Bool
 }
 
 // New returns a Server that reads the active release through view.
 func New(cfg Config, view func() releaser.View, ready func() bool, f Forwarder, runs *tracer.Registry, rec *recorder.Recorder) *Server {
-	return &Server{cfg: cfg, view: view, ready: ready, forward: f, runs: runs, rec: rec, buffer: semaphore.NewWeighted(cfg.BufferBytes)}
+	return &Server{cfg: cfg, view: view, ready: ready, forward: f, runs: runs, rec: rec, bodies: bodyreader.New(cfg.BufferBytes)}
 }
 
 // StartDraining makes the server refuse new requests of callers. Calls of the
@@ -95,12 +94,13 @@
 			v.answerNotRun(w, q, reason, detail, start)
 			return
 		}
-		var release func()
-		if q.Body, release, reason = v.readBody(w, r); reason != resolver.ReasonNone {
+		body, reason := v.bodies.Read(w, r, v.cfg.MaxBodyBytes, q.Deadline)
+		if reason != resolver.ReasonNone {
 			v.answerNotRun(w, q, reason, "", start)
 			return
 		}
-		defer release()
+		defer body.Release()
+		q.Body = body.Bytes
 		if reason = complete(r, &q); reason != resolver.ReasonNone {
 			v.refuse(w, r, q, reason, start)
 			return
@@ -181,45 +181,6 @@
 	return id.String()
 }
 
-// bufferStep is the amount of the buffer budget that is acquired at a time for
-// a body of unknown length.
-const bufferStep = 64 << 10
-
-// readBody reads a complete body. The release function returns its part of the
-// buffer budget.
-func (v *Server) readBody(w http.ResponseWriter, r *http.Request) (body []byte, release func(), reason resolver.Reason) {
-	if r.ContentLength > v.cfg.MaxBodyBytes {
-		return nil, nil, resolver.ReasonBodyTooLarge
-	}
-	held := int64(0)
-	release = func() { v.buffer.Release(held) }
-	reader := http.MaxBytesReader(w, r.Body, v.cfg.MaxBodyBytes)
-	for {
-		step := max(min(r.ContentLength, v.cfg.MaxBodyBytes)-held, 0)
-		if r.ContentLength < 0 {
-			step = bufferStep
-		}
-		if !v.buffer.TryAcquire(step) {
-			release()
-			return nil, nil, resolver.ReasonBufferFull
-		}
-		held += step
-		part, err := io.ReadAll(io.LimitReader(reader, max(step, 1)))
-		body = append(body, part...)
-		var tooLarge *http.MaxBytesError
-		switch {
-		case errors.As(err, &tooLarge):
-			release()
-			return nil, nil, resolver.ReasonBodyTooLarge
-		case err != nil:
-			release()
-			return nil, nil, resolver.ReasonCancelled
-		case int64(len(part)) < max(step, 1):
-			return body, release, resolver.ReasonNone
-		}
-	}
-}
-
 // fromCaller starts a new call tree.
 func (v *Server) fromCaller(_ *http.Request, q *forwarder.Request) resolver.Reason {
 	if v.draining.Load() {
--- a/crocusd/internal/server/server_test.go
+++ b/crocusd/internal/server/server_test.go
@@ -1,6 +1,7 @@
 package server
 
 import (
+	"bytes"
 	"context"
 	"io"
 	"net/http"
@@ -139,9 +140,13 @@
 			t.Fatalf("reason %q, %d requests forwarded, want Cancelled and none", got, f.sent)
 		}
 	}
-	if !s.buffer.TryAcquire(100_000) {
-		t.Error("the buffer budget was not released")
+	// Holds the whole budget: fails if the truncated bodies kept a part of it.
+	held := httptest.NewRequest(http.MethodPut, "/numerator/numbers", bytes.NewReader(make([]byte, 100_000)))
+	body, reason := s.bodies.Read(httptest.NewRecorder(), held, 100_000, time.Now().Add(time.Minute))
+	if reason != resolver.ReasonNone {
+		t.Fatalf("the buffer budget was not released: %v", reason)
 	}
+	defer body.Release()
 	w := httptest.NewRecorder()
 	s.Entry().ServeHTTP(w, httptest.NewRequest(http.MethodPut, "/numerator/numbers", strings.NewReader("0123")))
 	if got := w.Header().Get("Crocus-Reason"); got != "BufferFull" {
