router: requests stay in their domain while it has room

Cause: a request left its failure domain as soon as an upstream elsewhere had a score 1.5 times better, and the score follows latency: of three upstreams with speeds 0.6, 1.0 and 1.4 the fastest drew requests from everywhere, with answers and uploads crossing twice. Change: while the local candidate has free capacity and doesn't fail, the factor is 3 (IdleSpillFactor); otherwise as before.

--- a/core/router/router.go
+++ b/core/router/router.go
@@ -22,6 +22,11 @@
 	// the score of a candidate in another domain above which requests spill
 	// over to the other domain; default 1.5.
 	SpillFactor float64
+	// IdleSpillFactor replaces SpillFactor while the candidate in the node's own
+	// domain has free capacity and does not fail; default 3. A somewhat faster
+	// upstream is then no reason to send a request and its answer to another
+	// domain, a several times slower one in the own domain is.
+	IdleSpillFactor float64
 	// SlowStart is the time over which the weight of a new upstream rises to 1;
 	// default 10 s.
 	SlowStart time.Duration
@@ -41,6 +46,9 @@
 	if c.SpillFactor <= 0 {
 		c.SpillFactor = 1.5
 	}
+	if c.IdleSpillFactor <= 0 {
+		c.IdleSpillFactor = 3
+	}
 	if c.SlowStart <= 0 {
 		c.SlowStart = 10 * time.Second
 	}
@@ -221,7 +229,7 @@
 		return r.pickLeaving(now, s, exclude, draw)
 	case local == nil:
 		return Chosen{remote.Upstream, WhyNoLocal, remoteScore}
-	case remote != nil && r.lowestScore(now, s, s.local, exclude) > r.cfg.SpillFactor*remoteScore:
+	case remote != nil && r.spills(now, s, exclude, remoteScore):
 		return Chosen{remote.Upstream, WhySpill, remoteScore}
 	default:
 		return Chosen{local.Upstream, WhyLocal, localScore}
@@ -311,19 +319,24 @@
 	return nil
 }
 
-// lowestScore returns the lowest score of the candidates that aren't excluded.
-// There must be at least one.
-func (r *Router) lowestScore(now time.Duration, s *service, candidates []*stats, exclude []string) float64 {
-	lowest := -1.0
-	for _, st := range candidates {
+// spills reports whether a request leaves the node's own domain for an upstream
+// with remoteScore. At least one local upstream must not be excluded.
+func (r *Router) spills(now time.Duration, s *service, exclude []string, remoteScore float64) bool {
+	var best *stats
+	lowest := 0.0
+	for _, st := range s.local {
 		if slices.Contains(exclude, st.Address) {
 			continue
 		}
-		if score := st.score(now, s.meanLatency); lowest < 0 || score < lowest {
-			lowest = score
+		if score := st.score(now, s.meanLatency); best == nil || score < lowest {
+			best, lowest = st, score
 		}
 	}
-	return lowest
+	factor := r.cfg.SpillFactor
+	if best.load(now) < saturationLoad && best.failures.get(now, failureTimeConstant) < healthyFailures {
+		factor = r.cfg.IdleSpillFactor
+	}
+	return lowest > factor*remoteScore
 }
 
 // Home returns the upstream that owns a key. All nodes with the same list must
--- a/core/router/stats.go
+++ b/core/router/stats.go
@@ -29,6 +29,9 @@
 	// it a fast upstream fills up and refuses work before a slow one is half full.
 	saturationLoad   = 0.7
 	saturationWeight = 10
+	// healthyFailures is the failure ratio below which an upstream counts as
+	// healthy.
+	healthyFailures = 0.05
 	// baseLoad is added to the load, as a fraction of the limit. It keeps the
 	// ratio of two scores near 1 while both upstreams are lightly loaded. With
 	// 0.5, requests left the node's own domain at half of its capacity.
@@ -131,12 +134,16 @@
 	if s.latency.value > 0 {
 		latency = s.latency.get(now, latencyTimeConstant)
 	}
-	limit := cmp.Or(s.limit, assumedLimit)
-	load := (float64(s.inFlight) + s.externalLoad.get(now, loadTimeConstant)) / limit
+	load := s.load(now)
 	load += saturationWeight*min(max(load-saturationLoad, 0), 1-saturationLoad) + (queueWeight-1)*max(load-1, 0)
 	return latency * (baseLoad + load) * (1 + failurePenalty*s.failures.get(now, failureTimeConstant))
 }
 
+// load returns the requests at the upstream as a fraction of its limit.
+func (s *stats) load(now time.Duration) float64 {
+	return (float64(s.inFlight) + s.externalLoad.get(now, loadTimeConstant)) / cmp.Or(s.limit, assumedLimit)
+}
+
 // weight is the fraction of its normal traffic that the upstream gets during its
 // slow start, and 1 afterwards.
 func (s *stats) weight(now, slowStart time.Duration) float64 {
