resolver: a silent gate keeps its non-idempotent run

Cause: when a link was abandoned after 1 s of silence and the outcome query got no answer either, a non-idempotent request was given up with Unknown, although its machine may only be paused and its run finish in time. The caller can't send such a request again, so nothing was won by answering early. Change: the query is repeated until the deadline, unless the address refuses connections or belongs to another incarnation. Idempotent requests are answered at once, as before, since their callers may repeat them.

--- a/core/resolver/attempt.go
+++ b/core/resolver/attempt.go
@@ -37,7 +37,8 @@
 // VoidSettled means that the gate no longer holds a record of the attempt.
 type VoidSettled struct{}
 
-// VoidForeign means that the target incarnation is gone.
+// VoidForeign means that the target incarnation is gone: its address refuses
+// connections or belongs to another one.
 type VoidForeign struct{}
 
 // VoidFailed means that Void could not be sent or was not fully answered.
@@ -73,7 +74,7 @@
 type Wait struct{}
 
 // SendVoid means to send Void to the same incarnation, after a pause if the last
-// reply was VoidRunning.
+// event was VoidRunning or VoidFailed.
 type SendVoid struct{}
 
 // Retry means to take one unit each of the allowance and the retry ratio and to
@@ -159,6 +160,12 @@
 	case VoidForeign:
 		return retryOrConclude(Unknown{ReasonWrongIncarnation}, allowed)
 	case VoidFailed:
+		// The gate may only be silent for a while, with the request running. The
+		// caller can't send a non-idempotent request again anyway, so asking goes
+		// on until the deadline.
+		if !allowed.Idempotent {
+			return PhaseAsking, SendVoid{}
+		}
 		return retryOrConclude(Unknown{ReasonLinkLost}, allowed)
 	case Cancelled:
 		return PhaseFinal, Conclude{p.outcomeWithoutAnswer(ReasonCancelled)}
--- a/crocusd/internal/forwarder/tickets.go
+++ b/crocusd/internal/forwarder/tickets.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -140,7 +141,10 @@
 func (f *Forwarder) sendVoid(ctx context.Context, run *encoder.Run, sink *trackingSink) resolver.Event {
 	target := run.GetTarget()
 	l, err := f.links.Get(ctx, target.GetAddress())
-	if err != nil {
+	switch {
+	case errors.Is(err, syscall.ECONNREFUSED):
+		return resolver.VoidForeign{} // No process listens there any more.
+	case err != nil:
 		return resolver.VoidFailed{}
 	}
 	if l.Peer().GetIncarnation().GetBootId() != target.GetBootId() {
