isolator, listener: panics end one request; stops answer what has arrived

Cause: a panic in a stream or control message of a peer, or while a response of the store was applied, ended the process and the requests of all others. http.Server.Shutdown drops a request that it has not read completely, resets connections that it has not accepted yet, and closes kept connections whose next request has arrived but was not noticed by its goroutine. Change: core/isolator runs such work; a panic is logged with its stack and the ID of the request or the address of the peer, counted as Panics, and ends one stream or one link. The callers' listener closes connections that are idle for 2 minutes. The messages and decisions for notices of levels come with this commit, unused.

--- a/core/admitter/levels.go
+++ b/core/admitter/levels.go
@@ -5,9 +5,15 @@
 	"time"
 )
 
+// NoticeInterval is the interval at which a gate notifies the nodes that send it
+// requests of levels above 0. An answer carries them too, but one of hundreds of
+// entry nodes may send a request a second.
+const NoticeInterval = 200 * time.Millisecond
+
 const (
-	// levelHold is the time for which a reported level applies in full.
-	levelHold = 100 * time.Millisecond
+	// levelHold is the time for which a reported level applies in full: until the
+	// next notice.
+	levelHold = NoticeInterval + 50*time.Millisecond
 	// levelDecay is the number of levels per second by which a reported level
 	// falls after levelHold. The answers to the requests that it then lets pass
 	// report the current level. Probing with a fixed share of the requests (1 in
--- a/core/linker/link.go
+++ b/core/linker/link.go
@@ -91,6 +91,9 @@
 	sendMu  sync.Mutex
 	pending atomic.Int64 // Exchanges that wait for the peer.
 	lastUse atomic.Int64 // Unix nanoseconds.
+	// lastServed is the time of the last stream that the peer opened, in Unix
+	// nanoseconds; 0 before the first.
+	lastServed atomic.Int64
 	// lastRoundTrip is the time at which the last completed round trip began, with
 	// its monotonic clock reading. The first value is that of OpenedAt.
 	lastRoundTrip atomic.Pointer[time.Time]
@@ -144,6 +147,15 @@
 	return l.control.Send(m)
 }
 
+// notify sends a control message unless another one is being sent.
+func (l *Link) notify(m *encoder.Control) error {
+	if !l.sendMu.TryLock() {
+		return nil
+	}
+	defer l.sendMu.Unlock()
+	return l.control.Send(m)
+}
+
 // Probe sends a probe and waits for the reply, or for the reply to a probe that
 // is already under way.
 func (l *Link) Probe() error {
--- a/core/linker/manager.go
+++ b/core/linker/manager.go
@@ -10,10 +10,12 @@
 	"github.com/cockroachdb/errors"
 	"github.com/go-logr/logr"
 	"github.com/libp2p/go-yamux/v5"
+	"github.com/rcrowley/go-metrics"
 	"golang.org/x/sync/singleflight"
 
 	"crocustack/core/detector"
 	"crocustack/core/encoder"
+	"crocustack/core/isolator"
 	"crocustack/core/timekeeper"
 )
 
@@ -43,6 +45,8 @@
 	SilentAfter  time.Duration // A link with pending exchanges is probed after this time without a read.
 	AbandonAfter time.Duration // A probed link is abandoned after this further time without a read.
 	IdleTimeout  time.Duration // The side that dialed a link closes it after this time without exchanges.
+	// Isolator contains panics of the Handler; nil for one that only logs them.
+	Isolator *isolator.Isolator
 }
 
 // DefaultConfig returns the timeouts given in docs/design.md, section 5.7.
@@ -80,6 +84,9 @@
 	if timekeeper.SinceBoot() == 0 {
 		log.Info("uptime of the machine unknown; requests that come late count as fresh")
 	}
+	if cfg.Isolator == nil {
+		cfg.Isolator = isolator.New(log, metrics.NewRegistry())
+	}
 	return &Manager{cfg: cfg, log: log, handler: h, links: make(map[string]*Link), all: make(map[*Link]struct{}), done: make(chan struct{})}
 }
 
@@ -161,6 +168,22 @@
 	}
 }
 
+// NotifySenders sends a control message to the peers that have opened a stream
+// since the given time. It doesn't wait. A link that is still sending another
+// message is left out, so the message must be one that is repeated.
+func (m *Manager) NotifySenders(since time.Time, c *encoder.Control) {
+	for _, l := range m.Links() {
+		if l.lastServed.Load() < since.UnixNano() {
+			continue
+		}
+		go func() {
+			if err := l.notify(c); err != nil && !l.Closed() {
+				m.log.Info("notice not sent", "Peer", l.Address(), "Error", err.Error())
+			}
+		}()
+	}
+}
+
 // Close closes all links and waits for the goroutines that serve them.
 func (m *Manager) Close() {
 	m.mu.Lock()
@@ -309,10 +332,11 @@
 			return
 		}
 		l.lastUse.Store(time.Now().UnixNano())
+		l.lastServed.Store(time.Now().UnixNano())
 		go func() {
 			s := newStream(conn)
 			defer func() { _ = s.Close() }()
-			m.handler.Stream(l, s)
+			m.cfg.Isolator.Run("stream", l.Address(), func() { m.handler.Stream(l, s) })
 		}()
 	}
 }
@@ -325,7 +349,12 @@
 			_ = l.sess.Close()
 			return
 		}
-		m.handler.Control(l, msg)
+		if !m.cfg.Isolator.Run("control message", l.Address(), func() { m.handler.Control(l, msg) }) {
+			// The peer sends the message again at the next handshake, if it holds
+			// state that this node still needs.
+			_ = l.sess.Close()
+			return
+		}
 	}
 }
 
--- a/core/linker/stream_test.go
+++ b/core/linker/stream_test.go
@@ -175,3 +175,66 @@
 		m.Close()
 	})
 }
+
+// panickingPeer panics on streams whose request asks for tickets, and on every
+// control message.
+type panickingPeer struct{ echoPeer }
+
+func (p *panickingPeer) Stream(l *Link, s *Stream) {
+	m := &encoder.Request{}
+	if s.Receive(m) != nil {
+		return
+	}
+	if m.GetMint() != nil {
+		panic("fault of the handler")
+	}
+	_ = s.Send(m)
+}
+
+func (p *panickingPeer) Control(*Link, *encoder.Control) { panic("fault of the handler") }
+
+// TestPanicEndsOneStreamOrLink guards against a message of one peer that ends the
+// process, and with it the exchanges of all other peers.
+func TestPanicEndsOneStreamOrLink(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	remote := New(testConfig, logr.Discard(), &panickingPeer{echoPeer{address: ln.Addr().String(), closed: make(chan struct{}, 2)}})
+	go func() { _ = remote.Serve(ln) }()
+	t.Cleanup(func() {
+		_ = ln.Close()
+		remote.Close()
+	})
+	var links []*Link
+	for range 2 {
+		m, _ := newDialer(t)
+		l, err := m.Get(context.Background(), ln.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		links = append(links, l)
+	}
+	exchange := func(l *Link, m *encoder.Request) error {
+		s := openForTest(t, l)
+		_ = s.SetDeadline(time.Now().Add(20 * time.Second))
+		if err := s.Send(m); err != nil {
+			return err
+		}
+		return s.Receive(&encoder.Request{})
+	}
+	poison := &encoder.Request{Message: &encoder.Request_Mint{Mint: &encoder.Mint{}}}
+	if err := exchange(links[0], poison); err == nil {
+		t.Error("an answer after a panic")
+	}
+	if err := exchange(links[0], &encoder.Request{}); err != nil {
+		t.Errorf("the next exchange on the same link: %v", err)
+	}
+	if err := links[0].SendControl(&encoder.Control{}); err != nil {
+		t.Fatal(err)
+	}
+	waitFor(t, "end of the link whose control message caused a panic", links[0].Closed)
+	if err := exchange(links[1], &encoder.Request{}); err != nil {
+		t.Errorf("an exchange of another peer: %v", err)
+	}
+}
--- a/crocusd/internal/composer/composer.go
+++ b/crocusd/internal/composer/composer.go
@@ -5,7 +5,6 @@
 	"context"
 	"io"
 	"net"
-	"net/http"
 	"runtime/debug"
 	"strings"
 	"sync/atomic"
@@ -18,6 +17,7 @@
 	"crocustack/core/configurer"
 	"crocustack/core/encoder"
 	"crocustack/core/gatekeeper"
+	"crocustack/core/isolator"
 	"crocustack/core/linker"
 	"crocustack/core/recorder"
 	"crocustack/core/router"
@@ -76,6 +76,7 @@
 	clock  timekeeper.Clock
 
 	rec      *recorder.Recorder
+	isolator *isolator.Isolator
 	links    *linker.Manager
 	router   *router.Router
 	handler  *handler.Handler
@@ -123,6 +124,7 @@
 	n.bounds.Store(&bounds)
 	n.rec = recorder.New(decisions, recentDecisions)
 	n.rec.ReportDropped(lines)
+	n.isolator = isolator.New(program, n.rec.Registry())
 	n.compose()
 	return n, nil
 }
@@ -134,6 +136,7 @@
 	n.router = router.New(router.Config{SlowStart: slowStart, LeavingTime: leavingTime, LastResort: true}, n.cfg.Node.Domain, n.cfg.Node.Region, n.self.BootID)
 	n.links = linker.New(linker.Config{
 		DialTimeout: linkDialTimeout, SilentAfter: n.cfg.Timing.SilentAfter, AbandonAfter: n.cfg.Timing.AbandonAfter, IdleTimeout: n.cfg.Timing.LinkIdle,
+		Isolator: n.isolator,
 	}, n.log, n)
 	n.handler = handler.New(handler.Config{
 		MaxBodyBytes: int64(n.cfg.Limits.MaxBodyBytes), HoldAnswerBytes: holdAnswerBytes,
@@ -157,7 +160,8 @@
 		return errors.Wrap(err, "listen for links")
 	}
 	defer func() { _ = link.Close() }()
-	outbound, err := listener.Serve(n.log, n.cfg.Node.Outbound, platform.NewIngress(n.dispatch, func() string { return *n.service.Load() }), clientTimeouts)
+	ingress := platform.NewIngress(n.dispatch, func() string { return *n.service.Load() })
+	outbound, err := listener.Serve(n.log, n.cfg.Node.Outbound, platform.Isolated(n.isolator, ingress), clientTimeouts)
 	if err != nil {
 		return err
 	}
@@ -196,7 +200,7 @@
 
 // shutdown stops the node within the grace period: it announces that the node
 // is leaving, then refuses new requests and waits for those in flight to end.
-func (n *Node) shutdown(outbound *http.Server) {
+func (n *Node) shutdown(outbound *listener.Listener) {
 	n.log.Info("drain begins", "Grace", n.bounds.Load().Grace.String())
 	ctx, cancel := context.WithTimeout(context.Background(), n.bounds.Load().Grace-shutdownMargin)
 	defer cancel()
@@ -208,7 +212,7 @@
 	for ctx.Err() == nil && (n.handler.Active() > 0 || n.dispatch.Active() > 0) {
 		timekeeper.Sleep(ctx, shutdownPollInterval)
 	}
-	if err := outbound.Shutdown(ctx); err != nil {
+	if err := outbound.Stop(ctx); err != nil {
 		n.log.Error(err, "requests aborted at the end of the grace period", "Active", n.dispatch.Active())
 	}
 	timekeeper.Sleep(ctx, linker.CloseDelay)
--- a/crocusd/internal/composer/storereader.go
+++ b/crocusd/internal/composer/storereader.go
@@ -40,7 +40,9 @@
 	failures := 0
 	for ctx.Err() == nil {
 		before, began := f.revision, n.clock.Now()
-		if f.read(ctx) {
+		read := false
+		n.isolator.Run("read of the store", "", func() { read = f.read(ctx) })
+		if read {
 			failures = 0
 			if before > 0 && f.revision > before {
 				timekeeper.Sleep(ctx, debounce.next(n.clock.Now()-began))
--- a/crocusd/internal/handler/execute.go
+++ b/crocusd/internal/handler/execute.go
@@ -22,6 +22,7 @@
 func (h *Handler) execute(ctx context.Context, s *linker.Stream, m *encoder.Run, body []byte, gone <-chan struct{}) admitter.Result {
 	run := h.newRun(ctx, m)
 	h.runs.Add(run)
+	defer h.runs.Remove(run)
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	if h.cancellable(m) {
@@ -108,7 +109,7 @@
 	}
 	head := &encoder.Answer{
 		Id: m.GetId(), Outcome: encoder.Outcome_OUTCOME_RAN, Status: uint32(resp.Status),
-		Headers: resp.Headers, Load: h.loadMessage(m.GetKind()), BodyLength: -1,
+		Headers: resp.Headers, Load: h.loadMessage(m), BodyLength: -1,
 		Responder: IncarnationMessage(h.self),
 	}
 	if long {
--- a/crocusd/internal/handler/handler.go
+++ b/crocusd/internal/handler/handler.go
@@ -58,6 +58,9 @@
 	retryBudget   atomic.Pointer[retryBudget]
 	retryBudgetMu sync.Mutex
 
+	noticesMu sync.Mutex
+	notices   *admitter.Notices
+
 	// revision is the revision of the platform's store that the node has read;
 	// 0 for none.
 	revision atomic.Int64
@@ -76,6 +79,7 @@
 		pause:     detector.NewPauseDetector(cfg.PauseThreshold),
 		gate:      gatekeeper.New(cfg.Gate, self),
 		finished:  make(map[gatekeeper.AttemptID]chan struct{}),
+		notices:   admitter.NewNotices(),
 	}
 }
 
@@ -164,6 +168,7 @@
 	if !h.begin(ctx, s, m, gone) {
 		return
 	}
+	defer h.endAbandoned(m)
 	h.admit(ctx, s, m, body, gone)
 }
 
@@ -326,10 +331,13 @@
 		return
 	}
 	h.record(m, recorder.KindAdmit, nil, "")
-	result := h.execute(ctx, s, m, body, gone)
-	if !h.cfg.PassThrough {
-		h.admission.release(id, result)
-	}
+	result := admitter.Result{Failed: true}
+	defer func() {
+		if !h.cfg.PassThrough {
+			h.admission.release(id, result)
+		}
+	}()
+	result = h.execute(ctx, s, m, body, gone)
 }
 
 func deadlineOf(ctx context.Context) time.Time {
@@ -358,6 +366,18 @@
 	}
 }
 
+// endAbandoned ends an attempt that neither ran to its end nor was withdrawn: its
+// code has panicked. It may have run.
+func (h *Handler) endAbandoned(m *encoder.Run) {
+	id := attemptID(m.GetId())
+	h.gateMu.Lock()
+	_, abandoned := h.finished[id]
+	h.gateMu.Unlock()
+	if abandoned {
+		h.finish(m, gatekeeper.Answer{Outcome: resolver.Unknown{Reason: resolver.ReasonBroken}})
+	}
+}
+
 // effectiveLevel returns the effective admission level for a kind: the maximum
 // of own, the level of this gate, and the levels of all services that runs of
 // the kind call.
@@ -370,11 +390,15 @@
 	return level
 }
 
-func (h *Handler) loadMessage(kind string) *encoder.Load {
+// loadMessage returns the load report for the answer to a run.
+func (h *Handler) loadMessage(m *encoder.Run) *encoder.Load {
+	h.noticesMu.Lock()
+	h.notices.Seen(h.clock.Now(), admitter.GateKind{Service: m.GetService(), Name: m.GetKind()})
+	h.noticesMu.Unlock()
 	ld := h.admission.load()
 	return &encoder.Load{
 		InFlight: uint32(ld.InFlight), Queued: uint32(ld.Queued), Limit: uint32(ld.Limit),
-		Level: h.effectiveLevel(kind, ld.Level), Draining: h.Draining(), Revision: h.revision.Load(),
+		Level: h.effectiveLevel(m.GetKind(), ld.Level), Draining: h.Draining(), Revision: h.revision.Load(),
 	}
 }
 
@@ -395,7 +419,7 @@
 	h.record(m, kind, resolver.NotRun{Reason: reason}, "")
 	_ = s.Send(&encoder.Answer{
 		Id: m.GetId(), Outcome: encoder.Outcome_OUTCOME_NOT_RUN, Reason: uint32(reason),
-		Unspent: unspent, Load: h.loadMessage(m.GetKind()), Responder: IncarnationMessage(h.self),
+		Unspent: unspent, Load: h.loadMessage(m), Responder: IncarnationMessage(h.self),
 	})
 }
 
@@ -404,6 +428,6 @@
 	h.record(m, recorder.KindRefuse, resolver.Unknown{Reason: reason}, "")
 	_ = s.Send(&encoder.Answer{
 		Id: m.GetId(), Outcome: encoder.Outcome_OUTCOME_UNKNOWN, Reason: uint32(reason),
-		Unspent: unspent, Load: h.loadMessage(m.GetKind()), Responder: IncarnationMessage(h.self),
+		Unspent: unspent, Load: h.loadMessage(m), Responder: IncarnationMessage(h.self),
 	})
 }
--- a/crocusd/internal/runner/runner.go
+++ b/crocusd/internal/runner/runner.go
@@ -20,6 +20,7 @@
 	"crocustack/core/encoder"
 	"crocustack/core/gatekeeper"
 	"crocustack/core/informer"
+	"crocustack/core/isolator"
 	"crocustack/core/linker"
 	"crocustack/core/recorder"
 	"crocustack/core/releaser"
@@ -89,11 +90,13 @@
 	}
 	n.rec = recorder.New(decisions, recentDecisions)
 	n.rec.ReportDropped(lines)
+	panics := isolator.New(program, n.rec.Registry())
 	n.levels = admitter.NewLevels()
 	runs, calls := tracer.NewRegistry(), tracer.NewCalls()
 	n.router = router.New(router.Config{}, cfg.Node.Domain, cfg.Node.Region, n.self.BootID)
 	n.links = linker.New(linker.Config{
 		DialTimeout: time.Second, SilentAfter: cfg.Timing.SilentAfter, AbandonAfter: cfg.Timing.AbandonAfter, IdleTimeout: cfg.Timing.LinkIdle,
+		Isolator: panics,
 	}, program, n)
 	passThrough := cfg.Policy == configurer.PolicyPassThrough
 	n.handler = handler.New(handler.Config{
@@ -216,7 +219,7 @@
 
 // callerTimeouts limits how long clients may keep a connection open without
 // sending the headers of a request.
-var callerTimeouts = listener.Timeouts{Header: 10 * time.Second}
+var callerTimeouts = listener.Timeouts{Header: 10 * time.Second, Idle: 2 * time.Minute}
 
 // Run serves until ctx ends, then stops gracefully.
 func (n *Node) Run(ctx context.Context) error {
@@ -272,20 +275,20 @@
 
 // stop drains the node: it waits for the requests in flight, at most for the
 // drain timeout.
-func (n *Node) stop(entry, outbound *http.Server) {
+func (n *Node) stop(entry, outbound *listener.Listener) {
 	n.startDraining()
 	n.log.Info("drain begins", "Timeout", n.cfg.DrainTimeout.String())
 	ctx, cancel := context.WithTimeout(context.Background(), n.cfg.DrainTimeout)
 	defer cancel()
 	n.server.StartDraining()
 	timekeeper.Sleep(ctx, drainNotice)
-	if err := entry.Shutdown(ctx); err != nil {
+	if err := entry.Stop(ctx); err != nil {
 		n.log.Error(err, "requests of callers aborted at the end of the drain timeout", "Active", n.server.Active())
 	}
 	if err := n.waitForRuns(ctx); err != nil {
 		n.log.Error(err, "requests at the backend server aborted at the end of the drain timeout", "Active", n.handler.Active())
 	}
-	_ = outbound.Shutdown(ctx)
+	_ = outbound.Stop(ctx)
 	timekeeper.Sleep(ctx, linker.CloseDelay)
 	n.log.Info("drain ended")
 }
--- a/crocusd/internal/tracer/registry.go
+++ b/crocusd/internal/tracer/registry.go
@@ -80,11 +80,14 @@
 	g.byTrace[r.TraceID] = append(g.byTrace[r.TraceID], r)
 }
 
-// Remove removes a run. Find does not return it any more.
+// Remove removes a run. Find does not return it any more. Removing it again has
+// no effect, also when another run has the same token.
 func (g *Registry) Remove(r *Run) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	delete(g.byToken, r.Token)
+	if g.byToken[r.Token] == r {
+		delete(g.byToken, r.Token)
+	}
 	runs := g.byTrace[r.TraceID]
 	for i, o := range runs {
 		if o == r {
