--- a/core/admitter/planner.go
+++ b/core/admitter/planner.go
@@ -9,8 +9,8 @@
 
 const (
 	// targetUtilization is the share of the limit that the planner aims to keep
-	// busy. The rest absorbs the variation of random arrivals.
-	targetUtilization = 0.92
+	// busy. The rest keeps the queue short when arrivals vary.
+	targetUtilization = 0.96
 	// demandTimeConstant is the time constant with which demand is averaged.
 	demandTimeConstant = 400 * time.Millisecond
 	// queueDrainTime is the time within which the queued requests should get a
--- a/core/admitter/tree_test.go
+++ b/core/admitter/tree_test.go
@@ -49,12 +49,18 @@
 	// otherGateShare is the share of the trees whose sender applies the level of
 	// another gate of the service, which has free slots.
 	otherGateShare float64
+	// entries are the entry nodes; nil for one that receives every level after
+	// levelDelay.
+	entries *sparseEntries
 	// change is called at every step; nil for none.
 	change func(now time.Duration)
 }
 
 // appliedLevel returns the level that the sender of a new tree applies.
-func (s *treeSim) appliedLevel(now time.Duration) uint32 {
+func (s *treeSim) appliedLevel(now time.Duration, treeID uint64) uint32 {
+	if s.entries != nil {
+		return s.entries.of(treeID).Effective(now, sparseService, sparseKind)
+	}
 	if s.rng.Float64() < s.otherGateShare {
 		return 0
 	}
@@ -99,6 +105,9 @@
 		}
 		for _, e := range s.completions[now] {
 			s.decide(now, s.a.Release(now, e.call, Result{Latency: e.latency}))
+			if s.entries != nil {
+				s.entries.of(e.tree.id).Observe(now+answerDelay, sparseService, sparseKind, s.a.Load().Level)
+			}
 			if e.tree.callsLeft--; e.tree.callsLeft > 0 {
 				s.call(now, e.tree)
 			} else if s.measuring {
@@ -112,7 +121,7 @@
 				if s.measuring {
 					st.offered++
 				}
-				appliedLevel := s.appliedLevel(now)
+				appliedLevel := s.appliedLevel(now, id)
 				if Priority(st.class, id) < appliedLevel {
 					if s.measuring {
 						st.refused++
@@ -125,6 +134,9 @@
 		if now%(10*time.Millisecond) == 0 {
 			s.decide(now, s.a.Tick(now))
 		}
+		if s.entries != nil {
+			s.entries.notify(now, s.a.Load().Level)
+		}
 		s.levels[now.Truncate(window)] = s.a.Load().Level
 	}
 }
--- a/crocusd/internal/runner/peers.go
+++ b/crocusd/internal/runner/peers.go
@@ -46,7 +46,13 @@
 func (n *Node) Stream(l *linker.Link, s *linker.Stream) { n.handler.Stream(l, s) }
 
 // Control implements linker.Handler.
-func (n *Node) Control(l *linker.Link, m *encoder.Control) { n.sync.Received(l.Address(), m) }
+func (n *Node) Control(l *linker.Link, m *encoder.Control) {
+	if notice := m.GetNotice(); notice != nil {
+		n.handler.ObserveNotice(notice)
+		return
+	}
+	n.sync.Received(l.Address(), m)
+}
 
 func (n *Node) peerLeaving(address string) {
 	n.router.MarkLeaving(n.clock.Now(), address)
--- a/crocusd/internal/runner/runner.go
+++ b/crocusd/internal/runner/runner.go
@@ -248,6 +248,7 @@
 	defer cancel()
 	go func() { _ = n.links.Serve(link) }()
 	go n.handler.Run(inner)
+	go n.handler.NotifySenders(inner, n.links)
 	go func() { _ = n.sync.Run(inner) }()
 	if n.cfg.Backend.HealthPath != "" {
 		go prober.New(n.cfg.Backend.URL+n.cfg.Backend.HealthPath).Run(inner, n.startDraining)
