--- a/core/linker/manager_test.go
+++ b/core/linker/manager_test.go
@@ -21,6 +21,8 @@
 // echoPeer echoes the first message of every stream.
 type echoPeer struct {
 	address string
+	// controls receives the control messages; nil to discard them.
+	controls chan *encoder.Control
 
 	mu     sync.Mutex
 	opened int
@@ -51,7 +53,11 @@
 	}
 }
 
-func (p *echoPeer) Control(*Link, *encoder.Control) {}
+func (p *echoPeer) Control(_ *Link, m *encoder.Control) {
+	if p.controls != nil {
+		p.controls <- m
+	}
+}
 
 func (p *echoPeer) links() int {
 	p.mu.Lock()
--- a/core/linker/stream_test.go
+++ b/core/linker/stream_test.go
@@ -238,3 +238,51 @@
 		t.Errorf("an exchange of another peer: %v", err)
 	}
 }
+
+// TestNotifySenders guards against notices to peers that send no requests: with
+// hundreds of nodes, most links of a gate belong to its own requests.
+func TestNotifySenders(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	gate := New(testConfig, logr.Discard(), &echoPeer{address: ln.Addr().String(), closed: make(chan struct{}, 2)})
+	go func() { _ = gate.Serve(ln) }()
+	t.Cleanup(func() {
+		_ = ln.Close()
+		gate.Close()
+	})
+	began := time.Now()
+	var peers []*echoPeer
+	var links []*Link
+	for range 2 {
+		m, p := newDialer(t)
+		p.controls = make(chan *encoder.Control, 1)
+		l, err := m.Get(context.Background(), ln.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		peers, links = append(peers, p), append(links, l)
+	}
+	s := openForTest(t, links[0])
+	if err := s.Send(&encoder.Request{}); err != nil {
+		t.Fatal(err)
+	}
+	if err := s.Receive(&encoder.Request{}); err != nil {
+		t.Fatal(err)
+	}
+	gate.NotifySenders(began, &encoder.Control{Message: &encoder.Control_Notice{Notice: &encoder.Notice{}}})
+	select {
+	case m := <-peers[0].controls:
+		if m.GetNotice() == nil {
+			t.Errorf("got %v, want the notice", m)
+		}
+	case <-time.After(20 * time.Second):
+		t.Fatal("the sender got no notice")
+	}
+	select {
+	case m := <-peers[1].controls:
+		t.Errorf("a peer that sent no request got %v", m)
+	case <-time.After(50 * time.Millisecond):
+	}
+}
--- a/crocusd/internal/composer/composer.go
+++ b/crocusd/internal/composer/composer.go
@@ -177,6 +177,7 @@
 	defer cancel()
 	go func() { _ = n.links.Serve(link) }()
 	go n.handler.Run(inner)
+	go n.handler.NotifySenders(inner, n.links)
 	go n.readStore(inner)
 	n.log.Info("node started", "Service", n.self.Service, "Link", n.self.Address, "Domain", n.cfg.Node.Domain)
 
--- a/crocusd/internal/composer/peers.go
+++ b/crocusd/internal/composer/peers.go
@@ -39,7 +39,10 @@
 
 // Control implements linker.Handler.
 func (n *Node) Control(l *linker.Link, m *encoder.Control) {
-	if _, ok := m.GetMessage().(*encoder.Control_Leaving); ok {
+	switch m := m.GetMessage().(type) {
+	case *encoder.Control_Leaving:
 		n.router.MarkLeaving(n.clock.Now(), l.Address())
+	case *encoder.Control_Notice:
+		n.handler.ObserveNotice(m.Notice)
 	}
 }
--- a/crocusd/internal/forwarder/attempt.go
+++ b/crocusd/internal/forwarder/attempt.go
@@ -191,10 +191,11 @@
 const voidRetryInterval = 50 * time.Millisecond
 
 // sendVoid sends a Void for the attempt and returns the reply as an event.
-// After the reply that the attempt is running, it first waits for
+// After the reply that the attempt is running, or no reply, it first waits for
 // voidRetryInterval.
 func (t *attempt) sendVoid(ctx context.Context, last resolver.Event) resolver.Event {
-	if _, ok := last.(resolver.VoidRunning); ok {
+	switch last.(type) {
+	case resolver.VoidRunning, resolver.VoidFailed:
 		select {
 		case <-ctx.Done():
 			return resolver.DeadlinePassed{}
