encoder: header values and paths are octets

Cause: a protobuf string must be valid UTF-8, so a request with other octets in a header (RFC 9110 allows them) or in its query could not be encoded for the link and ended with 502 on every attempt. Change: both fields are bytes, which is the same on the wire for valid text. NewHeader and Strings convert. Seen failing: TestHeaderOctetsForwarded, "query \"\", header \"caf\\xe9\": status 502, want 200" and two more; now 200.

--- a/crocusd/internal/forwarder/attempt.go
+++ b/crocusd/internal/forwarder/attempt.go
@@ -137,7 +137,7 @@
 		Idempotent:      q.Kind.Idempotent,
 		Key:             q.Key,
 		Method:          q.Method,
-		Path:            q.Path,
+		Path:            []byte(q.Path),
 		Headers:         q.Headers,
 		BodyLength:      uint64(len(q.Body)),
 		Repeat:          q.Repeat,
--- a/crocusd/internal/handler/backend.go
+++ b/crocusd/internal/handler/backend.go
@@ -108,7 +108,7 @@
 	req.GetBody = nil
 	req.ContentLength = int64(len(c.Body))
 	for _, hd := range c.Headers {
-		for _, v := range hd.GetValues() {
+		for _, v := range hd.Strings() {
 			req.Header.Add(hd.GetName(), v)
 		}
 	}
@@ -128,7 +128,7 @@
 		if connector.HopByHop(name) || strings.HasPrefix(name, "Crocus-") {
 			continue
 		}
-		out = append(out, &encoder.Header{Name: name, Values: values})
+		out = append(out, encoder.NewHeader(name, values...))
 	}
 	return out
 }
--- a/crocusd/internal/handler/execute.go
+++ b/crocusd/internal/handler/execute.go
@@ -38,7 +38,7 @@
 	}
 	start := h.clock.Now()
 	r := h.send(ctx, m, connector.Call{
-		RequestID: run.RequestID, Instance: m.GetInstance(), Method: m.GetMethod(), Host: m.GetHost(), Path: m.GetPath(),
+		RequestID: run.RequestID, Instance: m.GetInstance(), Method: m.GetMethod(), Host: m.GetHost(), Path: string(m.GetPath()),
 		Headers: m.GetHeaders(), Body: body, Parent: run.Token, Trace: run.TraceID,
 	})
 	result := admitter.Result{}
@@ -77,7 +77,7 @@
 	traceID := ""
 	for _, hd := range m.GetHeaders() {
 		if hd.GetName() == headerTrace && len(hd.GetValues()) > 0 {
-			traceID = tracer.TraceID(hd.GetValues()[0])
+			traceID = tracer.TraceID(string(hd.GetValues()[0]))
 		}
 	}
 	if traceID == "" {
--- a/crocusd/internal/server/answer.go
+++ b/crocusd/internal/server/answer.go
@@ -78,7 +78,7 @@
 func (s *responseSink) Head(status int, headers []*encoder.Header, length int64) {
 	s.headSent = true
 	for _, h := range headers {
-		for _, v := range h.GetValues() {
+		for _, v := range h.Strings() {
 			s.w.Header().Add(h.GetName(), v)
 		}
 	}
--- a/crocusfake/internal/meter/peer.go
+++ b/crocusfake/internal/meter/peer.go
@@ -69,7 +69,7 @@
 	run := &encoder.Run{
 		Id: &encoder.AttemptId{SenderBootId: p.bootID, Sequence: seq}, SettledBelow: 1, Target: l.Peer().GetIncarnation(),
 		Service: backService, Kind: "post-" + backService, Class: 2, Depth: 1, TreeId: seq, RemainingMicros: 5_000_000, Idempotent: true,
-		Method: http.MethodPost, Path: "/work", BodyLength: bodyBytes,
+		Method: http.MethodPost, Path: []byte("/work"), BodyLength: bodyBytes,
 	}
 	if err := s.Send(&encoder.Request{Message: &encoder.Request_Run{Run: run}}, &encoder.Chunk{Data: make([]byte, bodyBytes)}); err != nil {
 		return errors.Wrap(err, "send run")
