composer: watches wait longer in large fleets

Cause: every node asked the store again after 2 s without a change. Change: a watch waits 40 ms for each member, between 2 and 8 s. Seen failing with 2 s for any fleet: 71 and 195 members are above 30 watches a second by arithmetic (35.5 and 97.5).

--- a/crocusd/internal/composer/storereader.go
+++ b/crocusd/internal/composer/storereader.go
@@ -18,9 +18,15 @@
 )
 
 const (
-	// watchWait is the maximum wait of one watch (long poll). It bounds how long a
-	// dead connection to the store remains undetected.
-	watchWait = 2 * time.Second
+	// A watch (long poll) waits for watchWaitPerMember for each member of the
+	// fleet, between minWatchWait and maxWatchWait, so that the watches that end
+	// without a change cost the store about the same number of calls a second for
+	// any fleet. The wait bounds how long a dead connection to the store remains
+	// undetected when neither TCP keep-alive nor a newer revision of a peer shows
+	// it.
+	minWatchWait       = 2 * time.Second
+	maxWatchWait       = 8 * time.Second
+	watchWaitPerMember = 40 * time.Millisecond
 	// storeTimeout is how long a response of the store may take beyond the wait of
 	// the watch.
 	storeTimeout = 700 * time.Millisecond
@@ -65,13 +71,21 @@
 	revision int64
 	// lost is true while the store is unreachable.
 	lost bool
+	// members is the number of members in the view that was last applied.
+	members int
+}
+
+// watchWait returns the longest wait of one watch in a fleet of the given number
+// of members.
+func watchWait(members int) time.Duration {
+	return min(max(time.Duration(members)*watchWaitPerMember, minWatchWait), maxWatchWait)
 }
 
 // read lists or watches the store once. It returns false when the next read has
 // to wait for the backoff.
 func (f *storeReader) read(ctx context.Context) bool {
 	began := f.n.clock.Now()
-	wait := f.tracker.WatchWait(began, watchWait)
+	wait := f.tracker.WatchWait(began, watchWait(f.members))
 	if f.revision == 0 || f.lost {
 		wait = 0 // Only checks whether the store responds at all.
 	}
@@ -149,7 +163,7 @@
 	f.revision = cs.Revision
 	f.n.handler.SetRevision(cs.Revision)
 	if f.tracker.Expire(now) || changed {
-		f.n.apply(now, f.tracker.View(), f.revision)
+		f.apply(now)
 	}
 }
 
@@ -158,10 +172,17 @@
 func (f *storeReader) expire() {
 	now := f.n.clock.Now()
 	if f.tracker.Expire(now) {
-		f.n.apply(now, f.tracker.View(), f.revision)
+		f.apply(now)
 	}
 }
 
+// apply applies the current view.
+func (f *storeReader) apply(now time.Duration) {
+	v := f.tracker.View()
+	f.members = len(v.Members)
+	f.n.apply(now, v, f.revision)
+}
+
 // apply configures the components of the node from a view.
 func (n *Node) apply(now time.Duration, v observer.View, revision int64) {
 	if v.Config.Version == 0 {
