--- a/crocusd/internal/forwarder/attempt.go
+++ b/crocusd/internal/forwarder/attempt.go
@@ -186,16 +186,17 @@
 }
 
 // voidRetryInterval is the interval between two Void messages for an attempt
-// that is still running. It can be short because the gate waits for the run to
-// end before it replies.
+// that is still running or whose gate did not reply. It can be short because the
+// gate waits for the run to end before it replies.
 const voidRetryInterval = 50 * time.Millisecond
 
 // sendVoid sends a Void for the attempt and returns the reply as an event.
 // After the reply that the attempt is running, or no reply, it first waits for
 // voidRetryInterval.
 func (t *attempt) sendVoid(ctx context.Context, last resolver.Event) resolver.Event {
-	switch last.(type) {
-	case resolver.VoidRunning, resolver.VoidFailed:
+	_, running := last.(resolver.VoidRunning)
+	_, failed := last.(resolver.VoidFailed)
+	if running || failed {
 		select {
 		case <-ctx.Done():
 			return resolver.DeadlinePassed{}
