linker: Close ends handshakes in progress

Cause: Close closed links only. A connection whose handshake was not completed stayed, with its goroutines, until the dial timeout. Change: Close closes such connections too and waits for them.

--- a/core/linker/manager.go
+++ b/core/linker/manager.go
@@ -71,8 +71,10 @@
 	// they are closed.
 	links map[string]*Link
 	// all holds every open link.
-	all    map[*Link]struct{}
-	closed bool
+	all map[*Link]struct{}
+	// starting holds the connections whose handshake is not completed.
+	starting map[net.Conn]struct{}
+	closed   bool
 	// monitoring is true once monitorLinks has been started. Closing done ends it.
 	monitoring bool
 	done       chan struct{}
@@ -87,7 +89,7 @@
 	if cfg.Isolator == nil {
 		cfg.Isolator = isolator.New(log, metrics.NewRegistry())
 	}
-	return &Manager{cfg: cfg, log: log, handler: h, links: make(map[string]*Link), all: make(map[*Link]struct{}), done: make(chan struct{})}
+	return &Manager{cfg: cfg, log: log, handler: h, links: make(map[string]*Link), all: make(map[*Link]struct{}), starting: make(map[net.Conn]struct{}), done: make(chan struct{})}
 }
 
 // Serve accepts links until the listener is closed.
@@ -184,13 +186,17 @@
 	}
 }
 
-// Close closes all links and waits for the goroutines that serve them.
+// Close closes all links and connections and waits for the goroutines that serve
+// them.
 func (m *Manager) Close() {
 	m.mu.Lock()
 	if !m.closed {
 		m.closed = true
 		close(m.done)
 	}
+	for c := range m.starting {
+		_ = c.Close()
+	}
 	m.mu.Unlock()
 	for _, l := range m.Links() {
 		_ = l.sess.Close()
@@ -231,9 +237,37 @@
 	return c
 }
 
+// errClosed means that the Manager is closed.
+var errClosed = errors.New("link manager is closed")
+
+// beginStart records a connection whose handshake begins. It returns false when
+// the Manager is closed; otherwise endStart must be called.
+func (m *Manager) beginStart(conn net.Conn) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.closed {
+		return false
+	}
+	m.starting[conn] = struct{}{}
+	m.wg.Add(1)
+	return true
+}
+
+func (m *Manager) endStart(conn net.Conn) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	delete(m.starting, conn)
+	m.wg.Done()
+}
+
 // start performs the handshake on a new connection and starts the goroutines
 // that serve the link.
 func (m *Manager) start(conn net.Conn, dialed bool) (*Link, error) {
+	if !m.beginStart(conn) {
+		_ = conn.Close()
+		return nil, errClosed
+	}
+	defer m.endStart(conn)
 	counting := &countingConn{batchConn: newBatchConn(conn, m.cfg.SilentAfter+m.cfg.AbandonAfter)}
 	counting.lastRead.Store(time.Now().UnixNano())
 	l := &Link{Dialed: dialed, conn: counting}
@@ -253,7 +287,7 @@
 	l.monitor, l.reportedRead = detector.NewLinkMonitor(m.cfg.SilentAfter, m.cfg.AbandonAfter), l.conn.lastRead.Load()
 	if !m.register(l) {
 		_ = l.sess.Close()
-		return nil, errors.New("link manager is closed")
+		return nil, errClosed
 	}
 	m.handler.Opened(l)
 	go m.serveStreams(l)
--- a/core/linker/stream_test.go
+++ b/core/linker/stream_test.go
@@ -286,3 +286,35 @@
 	case <-time.After(50 * time.Millisecond):
 	}
 }
+
+// TestCloseEndsHandshakes guards against a Close that leaves connections and
+// goroutines behind until the handshake times out.
+func TestCloseEndsHandshakes(t *testing.T) {
+	cfg := testConfig
+	cfg.DialTimeout = time.Minute
+	m := New(cfg, logr.Discard(), &echoPeer{address: "127.0.0.1:1", closed: make(chan struct{}, 1)})
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	go func() { _ = m.Serve(ln) }()
+	conn, err := net.Dial("tcp", ln.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = conn.Close() }()
+	waitFor(t, "handshake", func() bool {
+		m.mu.Lock()
+		defer m.mu.Unlock()
+		return len(m.starting) == 1
+	})
+	_ = ln.Close()
+	m.Close()
+	_ = conn.SetReadDeadline(time.Now().Add(20 * time.Second))
+	for buf := make([]byte, 4096); err == nil; {
+		_, err = conn.Read(buf)
+	}
+	if ne, ok := err.(net.Error); ok && ne.Timeout() {
+		t.Error("the connection is still open 20 s after Close")
+	}
+}
