--- a/core/recorder/decision.go
+++ b/core/recorder/decision.go
@@ -28,9 +28,10 @@
 	KindReader             // The node started or stopped reading from the platform.
 	KindAnswer             // The outcome of a request was returned to its caller.
 	KindCall               // The outcome of an outbound call was returned to the backend server that made it.
+	KindState              // The backend server stated a new rate limit, its departure, or neither any more.
 )
 
-const numKinds = int(KindCall) + 1
+const numKinds = int(KindState) + 1
 
 // Decision is one decision of a node.
 type Decision struct {
--- a/core/recorder/kind_string.go
+++ b/core/recorder/kind_string.go
@@ -19,11 +19,12 @@
 	_ = x[KindReader-8]
 	_ = x[KindAnswer-9]
 	_ = x[KindCall-10]
+	_ = x[KindState-11]
 }
 
-const _Kind_name = "RouteAdmitShedRefuseRetryVoidDrainNoteReaderAnswerCall"
+const _Kind_name = "RouteAdmitShedRefuseRetryVoidDrainNoteReaderAnswerCallState"
 
-var _Kind_index = [...]uint8{0, 5, 10, 14, 20, 25, 29, 34, 38, 44, 50, 54}
+var _Kind_index = [...]uint8{0, 5, 10, 14, 20, 25, 29, 34, 38, 44, 50, 54, 59}
 
 func (i Kind) String() string {
 	idx := int(i) - 0
--- a/crocusd/internal/composer/node_test.go
+++ b/crocusd/internal/composer/node_test.go
@@ -117,13 +117,19 @@
 	f.store.Register(entry)
 }
 
+// memberRun returns the run of an instance that started at the given time in Unix
+// milliseconds, for register.
+func memberRun(instance string, startMillis int64) connector.Member {
+	return connector.Member{Instance: instance, StartMillis: startMillis}
+}
+
 func (f *fleet) start(m *machine) {
 	f.t.Helper()
 	at := func(port string) string { return net.JoinHostPort(m.address, port) }
 	cfg := configurer.Defaults()
 	cfg.Node = configurer.Node{Service: m.service, Domain: "d", Region: "r", Link: at(f.link), Outbound: at(f.outbound), Ready: at(f.ready), Admin: at(f.admin)}
 	cfg.Backend.URL = "http://" + at(f.app)
-	cfg.Platform = configurer.Platform{URL: f.storeURL, Hosted: true, Bounds: []string{"grace=6s", "retryBudgetRatio=0.2", "retryBudgetSlack=40"}}
+	cfg.Platform = configurer.Platform{URL: f.storeURL, Hosted: true, Bounds: []string{"grace=6s", "drain=2s", "retryBudgetRatio=0.2", "retryBudgetSlack=40"}}
 	n, err := New(cfg, io.Discard)
 	if err != nil {
 		f.t.Fatal(err)
--- a/crocusd/internal/handler/handler.go
+++ b/crocusd/internal/handler/handler.go
@@ -61,6 +61,10 @@
 	noticesMu sync.Mutex
 	notices   *admitter.Notices
 
+	stateMu sync.Mutex
+	// state is what the backend server stated last.
+	state connector.ServerState
+
 	// revision is the revision of the platform's store that the node has read;
 	// 0 for none.
 	revision atomic.Int64
--- a/crocusd/internal/handler/retry.go
+++ b/crocusd/internal/handler/retry.go
@@ -93,7 +93,9 @@
 		return connector.NotRun{Reason: resolver.ReasonNoRetryLeft}
 	}
 	for resends := 0; ; resends++ {
+		sent := h.clock.Now()
 		reply := h.backend.Do(ctx, c)
+		h.observeState(m, sent, reply)
 		refused, ok := reply.(connector.NotRun)
 		if !ok || refused.Reason != resolver.ReasonBackendRefused || r == nil || resends == maxResends || ctx.Err() != nil || !h.backendHasCapacity() {
 			return reply
