admitter, router: hold the rate limit that a backend server states

Cause: gates admit by the slots of the member's entry alone. Change: the gate beside the server, which all requests to it pass, holds the stated rate with a token bucket. A request that has another upstream is refused at once and tried there at no retry; one that has none waits by class. Senders tell a restarted gate the limit; resends take from the same bucket. Refusals for a rate are no failures of the upstream.

--- a/core/admitter/admitter.go
+++ b/core/admitter/admitter.go
@@ -12,6 +12,10 @@
 // is not a burst.
 const window = 100 * time.Millisecond
 
+// rateBoundHold is how long after a request has last waited for the rate limit
+// the level is computed from it.
+const rateBoundHold = time.Second
+
 // Config holds the settings of an Admitter. Zero fields take the defaults.
 type Config struct {
 	// Slots is the number of requests that the backend server can run at once.
@@ -75,6 +79,9 @@
 	AppliedLevel uint32
 	// Deadline is the time after which the answer is useless; 0 for none.
 	Deadline time.Duration
+	// LastChoice is true if the sender has no other upstream to try. Only such a
+	// request waits for the rate limit of the backend server.
+	LastChoice bool
 }
 
 // Result describes how an admitted request ended.
@@ -94,6 +101,9 @@
 type Load struct {
 	InFlight, Queued, Limit int
 	Level                   uint32
+	// RateLimit is the rate limit of the backend server in requests a second, or 0
+	// for none. RateLoad is the rate of arrivals as a fraction of it.
+	RateLimit, RateLoad float64
 }
 
 type running struct {
@@ -111,7 +121,12 @@
 	levelController levelController
 	// planner replaces the levelController if the capacity is known.
 	planner planner
-	queue   queue
+	// rate is the rate limit that the backend server states. rateBoundUntil is the
+	// time until which it counts as what bounds the service: requests without
+	// another upstream have waited for it.
+	rate           rateLimit
+	rateBoundUntil time.Duration
+	queue          queue
 	// inFlight holds the admitted requests by ID. A request is admitted only
 	// while there are fewer of them than the limit.
 	inFlight map[uint64]running
@@ -153,6 +168,10 @@
 	if e.expired(now, a.cfg.QueueTime) {
 		return []Decision{Shed{r.ID, resolver.ReasonDeadlineExceeded}}
 	}
+	a.rate.arrived++
+	if !r.LastChoice && !a.rate.allows(now, a.queue.len+1) {
+		return []Decision{Shed{r.ID, resolver.ReasonRateLimited}}
+	}
 	if a.cfg.CapacityKnown {
 		a.planner.offer(r)
 	}
@@ -199,11 +218,12 @@
 	if e.startDeadline <= 0 {
 		return 0
 	}
-	ahead := time.Duration(0)
+	ahead, requests := time.Duration(0), 0
 	for c := e.Class; c < classifier.NumClasses; c++ {
 		ahead += a.queue.work[c]
+		requests += a.queue.perClass[c]
 	}
-	return now + ahead/time.Duration(max(a.limiter.lastEffective, 1))
+	return now + max(ahead/time.Duration(max(a.limiter.lastEffective, 1)), a.rate.delay(requests))
 }
 
 // level returns the current admission level.
@@ -266,8 +286,16 @@
 }
 
 func (a *Admitter) endWindow(now time.Duration) {
+	a.rate.endWindow(now)
 	if a.cfg.CapacityKnown {
-		a.planner.endWindow(now, a.limiter.effective(now), a.queue.totalWork())
+		if a.queue.len > 0 && !a.rate.allows(now, 1) {
+			a.rateBoundUntil = now + rateBoundHold
+		}
+		bound := 0.0
+		if now < a.rateBoundUntil {
+			bound = a.rate.perSecond
+		}
+		a.planner.endWindow(now, a.limiter.effective(now), bound, a.queue.totalWork())
 		return
 	}
 	limit := a.limiter.effective(now)
@@ -308,6 +336,23 @@
 	a.cfg = a.cfg.withDefaults()
 }
 
+// ObserveRate applies the rate limit in requests a second that an answer of the
+// backend server states, or that it states none. sent is when the request was
+// sent to the backend server.
+func (a *Admitter) ObserveRate(now, sent time.Duration, limited bool, perSecond float64) []Decision {
+	a.rate.observe(now, sent, limited, perSecond)
+	a.dispatch(now)
+	return a.flush()
+}
+
+// AssumeRate applies the rate limit that a sender has heard of while none of the
+// backend server's answers is known; 0 for none.
+func (a *Admitter) AssumeRate(now time.Duration, perSecond float64) { a.rate.assume(now, perSecond) }
+
+// TakeResend reports whether the rate limit lets an admitted request be sent to
+// the backend server once more, and counts it if so.
+func (a *Admitter) TakeResend(now time.Duration) bool { return a.rate.take(now) }
+
 // Restart begins the ramp again after a restart of the backend server.
 func (a *Admitter) Restart(now time.Duration) {
 	a.limiter.restart(now)
@@ -320,6 +365,9 @@
 		Queued:   a.queue.len,
 		Limit:    a.limiter.lastEffective,
 		Level:    a.level(),
+
+		RateLimit: a.rate.perSecond,
+		RateLoad:  a.rate.load(),
 	}
 }
 
@@ -335,7 +383,7 @@
 	if c < classifier.ClassCritical {
 		n -= int(a.reserve)
 	}
-	return len(a.inFlight) < n
+	return len(a.inFlight) < n && a.rate.allows(now, 1)
 }
 
 // dispatch admits queued requests, the highest class first, while slots are
@@ -354,6 +402,7 @@
 
 func (a *Admitter) admit(now time.Duration, e entry) {
 	a.recordWait(now, e)
+	a.rate.take(now)
 	a.inFlight[e.ID] = running{class: e.Class, latency: a.limiter.statsFor(e.Kind), kind: e.Kind, inFlight: len(a.inFlight) + 1}
 	if e.Class < classifier.ClassCritical {
 		a.lowerInFlight++
--- a/core/admitter/planner.go
+++ b/core/admitter/planner.go
@@ -35,6 +35,10 @@
 	// each weighted by the number of trees that it represents, refused ones
 	// included.
 	work [classifier.NumClasses]float64
+	// arrivals is the number of this window's arrivals, weighted alike, and
+	// arrivalRate its mean a second.
+	arrivals    float64
+	arrivalRate float64
 	// demand is the mean number of slots that each class would occupy if all of
 	// its trees were admitted.
 	demand     [classifier.NumClasses]float64
@@ -67,12 +71,15 @@
 // represents the refused trees (Horvitz and Thompson 1952). The gate's own level
 // can't give this share, since senders mix the levels of several gates.
 func (p *planner) offer(r Request) {
-	p.work[r.Class] += p.serviceTimes[r.Kind] / max(passingShare(r.Class, r.AppliedLevel), minPassingShare)
+	weight := 1 / max(passingShare(r.Class, r.AppliedLevel), minPassingShare)
+	p.work[r.Class] += weight * p.serviceTimes[r.Kind]
+	p.arrivals += weight
 }
 
-// endWindow computes the level. queuedWork is the expected service time of all
-// queued requests.
-func (p *planner) endWindow(now time.Duration, limit int, queuedWork time.Duration) {
+// endWindow computes the level. limit is the number of slots, rateBound the number
+// of requests a second that the backend server accepts, or 0 if slots are what
+// bounds it, and queuedWork the expected service time of all queued requests.
+func (p *planner) endWindow(now time.Duration, limit int, rateBound float64, queuedWork time.Duration) {
 	elapsed := now - p.lastUpdate
 	p.lastUpdate = now
 	if elapsed <= 0 {
@@ -86,7 +93,26 @@
 		}
 		p.work[c] = 0
 	}
-	p.level = p.plan(targetUtilization*float64(limit) - queuedWork.Seconds()/queueDrainTime.Seconds())
+	p.arrivalRate += ewmaWeight(elapsed, demandTimeConstant) * (p.arrivals/elapsed.Seconds() - p.arrivalRate)
+	p.arrivals = 0
+	slots := float64(limit)
+	if rateBound > 0 {
+		slots = min(slots, p.slotsAtRate(rateBound))
+	}
+	p.level = p.plan(targetUtilization*slots - queuedWork.Seconds()/queueDrainTime.Seconds())
+}
+
+// slotsAtRate returns the number of slots that requests occupy which arrive at a
+// rate a second in the present mix.
+func (p *planner) slotsAtRate(rate float64) float64 {
+	total := 0.0
+	for _, d := range p.demand {
+		total += d
+	}
+	if p.arrivalRate <= 0 {
+		return total
+	}
+	return total * rate / p.arrivalRate
 }
 
 // plan returns the lowest level whose passing requests fit into the slots.
--- a/core/resolver/reason.go
+++ b/core/resolver/reason.go
@@ -73,6 +73,9 @@
 	// ReasonNoRetryLeft: the retries of the service for the current window are
 	// used up.
 	ReasonNoRetryLeft
+	// ReasonRateLimited: the backend server accepts no more requests at present by
+	// the rate limit that it states.
+	ReasonRateLimited
 )
 
 // BeforeBackend reports whether a refusal for the reason proves that the attempt
@@ -80,7 +83,7 @@
 // without counting a retry.
 func (r Reason) BeforeBackend() bool {
 	switch r {
-	case ReasonQueueFull, ReasonDraining, ReasonBackendUnreachable, ReasonNoLink, ReasonVoided, ReasonWrongIncarnation:
+	case ReasonQueueFull, ReasonRateLimited, ReasonDraining, ReasonBackendUnreachable, ReasonNoLink, ReasonVoided, ReasonWrongIncarnation:
 		return true
 	default:
 		return false
@@ -92,7 +95,7 @@
 // overload.
 func (r Reason) Overloaded() bool {
 	switch r {
-	case ReasonQueueFull, ReasonQueueTimeout, ReasonLevelBelow, ReasonLevelBelowDownstream, ReasonBufferFull:
+	case ReasonQueueFull, ReasonQueueTimeout, ReasonLevelBelow, ReasonLevelBelowDownstream, ReasonBufferFull, ReasonRateLimited:
 		return true
 	default:
 		return false
--- a/core/router/router.go
+++ b/core/router/router.go
@@ -387,6 +387,35 @@
 	}
 }
 
+// RateLimit returns the rate limit in requests a second that an upstream has
+// reported recently for its backend server, or 0.
+func (r *Router) RateLimit(now time.Duration, name, address string) float64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	st := r.find(name, address)
+	if st == nil || now-st.rateLimit.at > rateLimitLifetime {
+		return 0
+	}
+	return st.rateLimit.value
+}
+
+// HasOther reports whether Pick could choose another upstream than the one with
+// the address and the excluded ones.
+func (r *Router) HasOther(now time.Duration, name, address string, exclude []string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	s, ok := r.services[name]
+	if !ok {
+		return false
+	}
+	for _, st := range slices.Concat(s.local, s.remote) {
+		if st.Address != address && st.connectable(now) && !slices.Contains(exclude, st.Address) {
+			return true
+		}
+	}
+	return false
+}
+
 // Subset returns the upstreams of a service that this node uses, those of its
 // own domain first.
 func (r *Router) Subset(name string) []Upstream {
--- a/core/router/stats.go
+++ b/core/router/stats.go
@@ -39,9 +39,15 @@
 	// The time constants of the exponential decay of the statistics. Load
 	// reports become stale quickly; the failure ratio and the latency decay so
 	// that an avoided upstream is tried again.
-	loadTimeConstant    = time.Second
-	failureTimeConstant = 5 * time.Second
-	latencyTimeConstant = 30 * time.Second
+	loadTimeConstant = time.Second
+	// A rate limit often holds for many seconds, and one of hundreds of senders
+	// hears of its load every few seconds only.
+	rateLoadTimeConstant = 3 * time.Second
+	failureTimeConstant  = 5 * time.Second
+	latencyTimeConstant  = 30 * time.Second
+	// rateLimitLifetime is how long a rate limit counts as known without a new
+	// report.
+	rateLimitLifetime = 10 * time.Second
 	// assumedLimit is used for an upstream that has not reported a limit.
 	assumedLimit = 32
 	// minSlowStartWeight is the weight of an upstream at the start of its slow start.
@@ -51,6 +57,9 @@
 // Load is the load that a node reported with an answer.
 type Load struct {
 	InFlight, Queued, Limit int
+	// RateLimit is the rate limit of the backend server in requests a second, or 0
+	// for none. RateLoad is the rate of arrivals there as a fraction of it.
+	RateLimit, RateLoad float64
 }
 
 // Result is how an attempt ended.
@@ -61,6 +70,10 @@
 	Failed bool
 	// Refused is true when the upstream rejected the attempt without running it.
 	Refused bool
+	// RateLimited is true when the attempt was refused because of the rate limit
+	// that the backend server states. The reported load says so already, so it
+	// does not count as a failure.
+	RateLimited bool
 	// Load is the reported load; a Limit of 0 means that there was no report.
 	Load Load
 }
@@ -96,6 +109,11 @@
 	// externalLoad is the reported load caused by other nodes, in requests.
 	externalLoad decayingValue
 	limit        float64 // Reported limit, or 0.
+	// rateLimit is the reported rate limit of the backend server in requests a
+	// second, or 0 for none. rateLoad is the reported rate of arrivals as a
+	// fraction of it.
+	rateLimit decayingValue
+	rateLoad  decayingValue
 	// latency is the moving average in seconds over successful attempts only,
 	// since failures are often faster; 0 before the first success.
 	latency decayingValue
@@ -139,9 +157,12 @@
 	return latency * (baseLoad + load) * (1 + failurePenalty*s.failures.get(now, failureTimeConstant))
 }
 
-// load returns the requests at the upstream as a fraction of its limit.
+// load returns the requests at the upstream as a fraction of its limit, or the
+// rate of arrivals as a fraction of the rate limit of the backend server if that
+// is more.
 func (s *stats) load(now time.Duration) float64 {
-	return (float64(s.inFlight) + s.externalLoad.get(now, loadTimeConstant)) / cmp.Or(s.limit, assumedLimit)
+	slots := (float64(s.inFlight) + s.externalLoad.get(now, loadTimeConstant)) / cmp.Or(s.limit, assumedLimit)
+	return max(slots, s.rateLoad.get(now, rateLoadTimeConstant))
 }
 
 // weight is the fraction of its normal traffic that the upstream gets during its
@@ -157,8 +178,12 @@
 	}
 	if res.Load.Limit > 0 {
 		s.limit = float64(res.Load.Limit)
+		s.rateLimit, s.rateLoad = decayingValue{res.Load.RateLimit, now}, decayingValue{res.Load.RateLoad, now}
 		s.externalLoad = decayingValue{float64(max(res.Load.InFlight+res.Load.Queued-s.inFlight, 0)), now}
 	}
+	if res.RateLimited {
+		return
+	}
 	failed := 0.0
 	switch {
 	case res.Failed:
--- a/crocusctl/internal/commander/advice.go
+++ b/crocusctl/internal/commander/advice.go
@@ -86,6 +86,8 @@
 		"Another backend server has the address of the upstream.", "Nothing; the next list of members corrects it."},
 	resolver.ReasonNoRetryLeft: {"", notRun, "503",
 		"An earlier try was refused or lost, and the service's retries of the present window are used up.", "Look for the backend servers that refuse or lose requests."},
+	resolver.ReasonRateLimited: {"", notRun, "503",
+		"The backend server accepts no more requests at present by the rate limit that it states, and no other one was free.", "See the `State` lines of its node for the limit; find out why the server needs one."},
 }
 
 // AdviceFor returns the text for a reason. For an unknown reason, as sent by a
--- a/crocusd/internal/forwarder/attempt.go
+++ b/crocusd/internal/forwarder/attempt.go
@@ -99,12 +99,16 @@
 		res.Failed = e.Status >= 500
 	case resolver.AnswerNotRun:
 		res.Refused = true
+		res.RateLimited = e.Reason == resolver.ReasonRateLimited
 		res.Failed = e.Reason == resolver.ReasonBackendRefused || e.Reason == resolver.ReasonBackendUnreachable
 	default:
 		res.Failed = true
 	}
 	if ld := got.head.GetLoad(); ld != nil {
-		res.Load = router.Load{InFlight: int(ld.GetInFlight()), Queued: int(ld.GetQueued()), Limit: int(ld.GetLimit())}
+		res.Load = router.Load{
+			InFlight: int(ld.GetInFlight()), Queued: int(ld.GetQueued()), Limit: int(ld.GetLimit()),
+			RateLimit: ld.GetRateLimit(), RateLoad: ld.GetRateLoad(),
+		}
 	}
 	p.f.router.Finish(now, p.q.Service, t.upstream.Address, res)
 	p.f.observeLoad(&p.q, t.upstream.Address, got.head.GetLoad())
@@ -147,6 +151,8 @@
 		Again:           t.loop.reachedBackend() > 0,
 		RepeatedTree:    q.RepeatedTree,
 		AppliedLevel:    q.AppliedLevel,
+		LastChoice:      t.lastChoice(),
+		RateLimit:       t.loop.f.router.RateLimit(t.loop.f.clock.Now(), q.Service, t.upstream.Address),
 		SentMicros:      uint64(timekeeper.SinceBoot().Microseconds()),
 	}
 	if q.Ticket != nil {
@@ -155,6 +161,16 @@
 	}
 }
 
+// lastChoice reports whether the request could not be sent to another upstream if
+// this one refused it.
+func (t *attempt) lastChoice() bool {
+	p := t.loop
+	if p.q.Ticket != nil || p.q.Key != "" || p.transparentRetries >= p.f.cfg.MaxTransparentRetries {
+		return true
+	}
+	return !p.f.router.HasOther(p.f.clock.Now(), p.q.Service, t.upstream.Address, p.excluded)
+}
+
 // resolve sends the request once and drives the resolver until the outcome of
 // the attempt is final. It returns true when another attempt is to be made, for
 // which it has already spent the units.
--- a/crocusd/internal/handler/admission.go
+++ b/crocusd/internal/handler/admission.go
@@ -81,6 +81,28 @@
 	s.deliver(s.a.Release(s.clock.Now(), id, res))
 }
 
+// observeRate applies what an answer of the backend server states about its rate
+// limit.
+func (s *admission) observeRate(sent time.Duration, limited bool, perSecond float64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.deliver(s.a.ObserveRate(s.clock.Now(), sent, limited, perSecond))
+}
+
+// assumeRate applies the rate limit that a sender has heard of; 0 for none.
+func (s *admission) assumeRate(perSecond float64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.a.AssumeRate(s.clock.Now(), perSecond)
+}
+
+// takeResend reports whether an admitted request may be sent once more.
+func (s *admission) takeResend() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.a.TakeResend(s.clock.Now())
+}
+
 func (s *admission) load() admitter.Load {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/crocusd/internal/handler/handler.go
+++ b/crocusd/internal/handler/handler.go
@@ -324,8 +324,10 @@
 	arrived := h.clock.Now()
 	id, reason := uint64(0), resolver.ReasonNone
 	if !h.cfg.PassThrough {
+		h.admission.assumeRate(m.GetRateLimit())
 		id, reason = h.admission.acquire(waitCtx, admitter.Request{
-			Class: classOf(m), Kind: m.GetKind(), Depth: m.GetDepth(), TreeID: m.GetTreeId(), AppliedLevel: m.GetAppliedLevel(), Deadline: arrived + time.Until(deadlineOf(ctx)),
+			Class: classOf(m), Kind: m.GetKind(), Depth: m.GetDepth(), TreeID: m.GetTreeId(), AppliedLevel: m.GetAppliedLevel(),
+			Deadline: arrived + time.Until(deadlineOf(ctx)), LastChoice: m.GetLastChoice(),
 		})
 	}
 	close(admitted)
--- a/crocusd/internal/handler/retry.go
+++ b/crocusd/internal/handler/retry.go
@@ -100,7 +100,7 @@
 		if !ok || refused.Reason != resolver.ReasonBackendRefused || r == nil || resends == maxResends || ctx.Err() != nil || !h.backendHasCapacity() {
 			return reply
 		}
-		if !r.allowRetry(h.clock.Now(), m) {
+		if !h.admission.takeResend() || !r.allowRetry(h.clock.Now(), m) {
 			return reply
 		}
 		h.record(m, recorder.KindRetry, resolver.NotRun{Reason: refused.Reason}, "the backend server has room; sent again")
--- a/crocusd/internal/handler/serverstate.go
+++ b/crocusd/internal/handler/serverstate.go
@@ -11,7 +11,7 @@
 
 // observeState applies what the backend server states in the reply to a request
 // that was sent at the given time.
-func (h *Handler) observeState(m *encoder.Run, _ time.Duration, reply connector.Reply) {
+func (h *Handler) observeState(m *encoder.Run, sent time.Duration, reply connector.Reply) {
 	var state connector.ServerState
 	switch r := reply.(type) {
 	case connector.Answered:
@@ -28,6 +28,7 @@
 	before := h.state
 	h.state = state
 	h.stateMu.Unlock()
+	h.admission.observeRate(sent, state.RateLimited, state.RateLimit)
 	if state != before {
 		h.record(m, recorder.KindState, nil, stateText(state))
 	}
