router, handler: a server that states its departure gets no new work

What callers saw: requests to servers that had said in their answers that they leave, up to the moment of their exit, whenever the store did not say so as well (DRAIN): the requests in flight at the exit are lost. Cause: nothing reads the statement; the store's entry is the only source. The same class as the stated rate: a fact that a peer states and no part owns. Change: the gate reports the departure with the instance; a sender's router gives that run nothing again until a later run of the instance is listed, and the gate refuses requests that have another choice.

--- a/core/router/decision.go
+++ b/core/router/decision.go
@@ -10,6 +10,9 @@
 	// Instance identifies the current run of the backend server. It is empty
 	// when runs have no identifiers.
 	Instance string
+	// StartMillis distinguishes the runs of an instance that starts again under
+	// its identifier: the start of the run in Unix milliseconds, or 0 if unknown.
+	StartMillis int64
 }
 
 // Why is the rule by which an upstream was chosen.
--- a/core/router/router.go
+++ b/core/router/router.go
@@ -87,6 +87,8 @@
 	// separate from the upstream lists because a list may be older than the
 	// message that announced the departure.
 	leaving map[string]time.Duration
+	// departures holds the runs that have stated that they leave.
+	departures departures
 }
 
 // New returns a router for a node in the domain and region. Nodes with different
@@ -99,15 +101,18 @@
 		seed:     seed,
 		services: make(map[string]*service),
 		leaving:  make(map[string]time.Duration),
+
+		departures: make(departures),
 	}
 }
 
 // SetUpstreams replaces the list of a service's upstreams. The statistics of an
-// upstream are kept as long as it is listed with the same instance.
+// upstream are kept as long as it is listed with the same run of an instance.
 func (r *Router) SetUpstreams(now time.Duration, name string, us []Upstream) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	maps.DeleteFunc(r.leaving, func(_ string, until time.Duration) bool { return now >= until })
+	r.departures.update(now, us)
 	previous, existed := r.services[name]
 	s := &service{byAddress: make(map[string]*stats, len(us))}
 	if existed {
@@ -119,12 +124,13 @@
 			// In the first list every upstream is new to this node although it may
 			// have been running for long, so none gets a slow start.
 			st.slowStartBegan = now - r.cfg.SlowStart
-		} else if old, ok := previous.byAddress[u.Address]; ok && old.Instance == u.Instance {
+		} else if old, ok := previous.byAddress[u.Address]; ok && old.Instance == u.Instance && old.StartMillis == u.StartMillis {
 			// The statistics of an earlier instance do not apply to a new one.
 			st = old
 		}
 		st.Upstream = u
 		st.leavingUntil = r.leaving[u.Address]
+		st.departing = r.departures.includes(u)
 		if st.Instance == "" {
 			st.slowStartBegan = max(st.slowStartBegan, st.leavingUntil)
 		}
@@ -180,6 +186,7 @@
 	s.local, s.remote, s.leaving, s.rebuildAt = nil, nil, nil, 0
 	for _, st := range s.byAddress {
 		switch {
+		case st.departing:
 		case st.leaving(now):
 			s.leaving = append(s.leaving, st)
 			if s.rebuildAt == 0 || st.leavingUntil < s.rebuildAt {
--- a/core/router/stats.go
+++ b/core/router/stats.go
@@ -100,6 +100,9 @@
 	slowStartBegan time.Duration
 	// leavingUntil is the time until which no new work is sent.
 	leavingUntil time.Duration
+	// departing is true for a run that has stated that it leaves. It gets no work
+	// again.
+	departing bool
 	// Until unreachableUntil the upstream is used only when there is no other
 	// one. connectFailures is the number of consecutive failed connections.
 	unreachableUntil time.Duration
--- a/crocusd/internal/composer/storereader.go
+++ b/crocusd/internal/composer/storereader.go
@@ -248,7 +248,7 @@
 		}
 		us = append(us, router.Upstream{
 			Service: service, Address: net.JoinHostPort(host, n.linkPort), Domain: m.Domain,
-			Region: cmp.Or(n.regions[m.Domain], n.cfg.Node.Region), Instance: m.Instance,
+			Region: cmp.Or(n.regions[m.Domain], n.cfg.Node.Region), Instance: m.Instance, StartMillis: m.StartMillis,
 		})
 	}
 	slices.SortFunc(us, func(a, b router.Upstream) int { return cmp.Compare(a.Address, b.Address) })
--- a/crocusd/internal/forwarder/attempt.go
+++ b/crocusd/internal/forwarder/attempt.go
@@ -111,7 +111,7 @@
 		}
 	}
 	p.f.router.Finish(now, p.q.Service, t.upstream.Address, res)
-	p.f.observeLoad(&p.q, t.upstream.Address, got.head.GetLoad())
+	p.f.observeLoad(&p.q, t.upstream, got.head.GetLoad())
 	if p.q.Pool != nil {
 		p.q.Pool.Return(t.lent, got.unspent)
 	}
--- a/crocusd/internal/forwarder/forwarder.go
+++ b/crocusd/internal/forwarder/forwarder.go
@@ -227,7 +227,7 @@
 }
 
 // observeLoad processes the load report of an answer.
-func (f *Forwarder) observeLoad(q *Request, address string, ld *encoder.Load) {
+func (f *Forwarder) observeLoad(q *Request, u router.Upstream, ld *encoder.Load) {
 	if ld == nil {
 		return
 	}
@@ -236,9 +236,12 @@
 	if f.cfg.OnRevision != nil {
 		f.cfg.OnRevision(ld.GetRevision())
 	}
+	if ld.GetServerLeaving() {
+		f.router.MarkDeparting(now, q.Service, u.Address, u.Instance)
+	}
 	if ld.GetDraining() {
-		f.router.MarkLeaving(now, address)
-		f.DropTickets(address)
+		f.router.MarkLeaving(now, u.Address)
+		f.DropTickets(u.Address)
 	}
 }
 
--- a/crocusd/internal/handler/answer.go
+++ b/crocusd/internal/handler/answer.go
@@ -31,7 +31,7 @@
 	return &encoder.Load{
 		InFlight: uint32(ld.InFlight), Queued: uint32(ld.Queued), Limit: uint32(ld.Limit),
 		Level: h.effectiveLevel(m.GetKind(), ld.Level), Draining: h.Draining(), Revision: h.revision.Load(),
-		RateLimit: ld.RateLimit, RateLoad: ld.RateLoad,
+		RateLimit: ld.RateLimit, RateLoad: ld.RateLoad, ServerLeaving: h.serverLeaving(m.GetInstance()),
 	}
 }
 
--- a/crocusd/internal/handler/handler.go
+++ b/crocusd/internal/handler/handler.go
@@ -62,8 +62,7 @@
 	notices   *admitter.Notices
 
 	stateMu sync.Mutex
-	// state is what the backend server stated last.
-	state connector.ServerState
+	state   statedState
 
 	// revision is the revision of the platform's store that the node has read;
 	// 0 for none.
@@ -165,6 +164,10 @@
 		h.refuse(s, m, resolver.ReasonDeadlineExceeded, m.GetAllowance())
 		return
 	}
+	if !m.GetLastChoice() && h.serverLeaving(m.GetInstance()) {
+		h.refuse(s, m, resolver.ReasonDraining, m.GetAllowance())
+		return
+	}
 	gone := senderGone(s)
 	if h.pause.PausedSince(h.clock.Now(), h.clock.At(l.LastRoundTrip())) && !h.confirmLink(l, gone) {
 		return
--- a/crocusd/internal/handler/serverstate.go
+++ b/crocusd/internal/handler/serverstate.go
@@ -9,6 +9,31 @@
 	"crocustack/core/recorder"
 )
 
+// statedState is what the backend server has stated about itself.
+type statedState struct {
+	connector.ServerState
+	// instance is the instance that a request named which was answered with the
+	// statement. at is the time of the answer.
+	instance string
+	at       time.Duration
+}
+
+// with returns the state after the answer to a request of an instance that was
+// sent at the given time. Answers can overtake each other, so that only the answer
+// to a request that was sent after the last statement withdraws it.
+func (s statedState) with(now, sent time.Duration, instance string, state connector.ServerState) statedState {
+	none := state == connector.ServerState{}
+	withdraws := none || s.Leaving && !state.Leaving
+	switch {
+	case withdraws && sent <= s.at:
+		return s
+	case none:
+		return statedState{}
+	default:
+		return statedState{state, instance, now}
+	}
+}
+
 // observeState applies what the backend server states in the reply to a request
 // that was sent at the given time.
 func (h *Handler) observeState(m *encoder.Run, sent time.Duration, reply connector.Reply) {
@@ -25,15 +50,23 @@
 		return
 	}
 	h.stateMu.Lock()
-	before := h.state
-	h.state = state
+	before := h.state.ServerState
+	h.state = h.state.with(h.clock.Now(), sent, m.GetInstance(), state)
+	after := h.state.ServerState
 	h.stateMu.Unlock()
 	h.admission.observeRate(sent, state.RateLimited, state.RateLimit)
-	if state != before {
-		h.record(m, recorder.KindState, nil, stateText(state))
+	if after != before {
+		h.record(m, recorder.KindState, nil, stateText(after))
 	}
 }
 
+// serverLeaving reports whether an instance has stated that it leaves.
+func (h *Handler) serverLeaving(instance string) bool {
+	h.stateMu.Lock()
+	defer h.stateMu.Unlock()
+	return instance != "" && h.state.Leaving && h.state.instance == instance
+}
+
 // stateText describes the state of the backend server for the decision log.
 func stateText(s connector.ServerState) string {
 	if s == (connector.ServerState{}) {
--- /dev/null
+++ b/crocusd/internal/handler/serverstate_test.go
@@ -0,0 +1,47 @@
+package handler
+
+import (
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"crocustack/core/connector"
+	"crocustack/core/encoder"
+	"crocustack/core/resolver"
+)
+
+// TestOvertakenAnswerKeepsStatement guards against a departure or a limit that is
+// forgotten because an answer from before the statement arrives after it.
+func TestOvertakenAnswerKeepsStatement(t *testing.T) {
+	leaving := connector.ServerState{Leaving: true}
+	limited := connector.ServerState{RateLimited: true, RateLimit: 3}
+	s := statedState{}.with(2, 1, "i", leaving)
+	want := statedState{leaving, "i", 2}
+	for _, late := range []connector.ServerState{{}, limited} {
+		if d := cmp.Diff(want, s.with(3, 1, "i", late), cmp.AllowUnexported(statedState{})); d != "" {
+			t.Errorf("after an overtaken answer: -want +got:\n%s", d)
+		}
+	}
+	if d := cmp.Diff(statedState{}, s.with(4, 3, "i", connector.ServerState{}), cmp.AllowUnexported(statedState{})); d != "" {
+		t.Errorf("after a later answer: -want +got:\n%s", d)
+	}
+}
+
+// TestRefusalsOfTheGateStateNothing guards against a limit or departure that is
+// withdrawn by a refusal which the backend server did not make, and against a
+// report of the departure to senders that mean another instance.
+func TestRefusalsOfTheGateStateNothing(t *testing.T) {
+	h := newHandler(&scriptedBackend{})
+	m := &encoder.Run{Instance: "i"}
+	h.observeState(m, time.Second, connector.Answered{State: connector.ServerState{Leaving: true, RateLimited: true, RateLimit: 3}})
+	h.observeState(m, time.Hour, connector.NotRun{Reason: resolver.ReasonBackendUnreachable})
+	h.observeState(m, time.Hour, connector.Unknown{Reason: resolver.ReasonBackendLost})
+	load := h.loadMessage(m)
+	if !load.GetServerLeaving() || load.GetRateLimit() != 3 {
+		t.Errorf("load %v, want a leaving server with a limit of 3", load)
+	}
+	if h.loadMessage(&encoder.Run{Instance: "j"}).GetServerLeaving() {
+		t.Error("another instance is reported as leaving")
+	}
+}
