--- a/core/connector/store.go
+++ b/core/connector/store.go
@@ -7,6 +7,23 @@
 	"github.com/cockroachdb/errors"
 )
 
+// Position is a place in the history of the store. A store that is restored from
+// a copy begins a new era, in which it gives out revisions of the era before
+// again, for other changes.
+type Position struct {
+	// Era is 0 if the store states none.
+	Era      int64
+	Revision int64
+}
+
+// Before reports whether p is an earlier place in the history than o.
+func (p Position) Before(o Position) bool {
+	if p.Era != o.Era {
+		return p.Era < o.Era
+	}
+	return p.Revision < o.Revision
+}
+
 // ErrCompacted means that the store no longer holds the changes since a
 // revision, so that the state must be listed again.
 var ErrCompacted = errors.New("the store no longer holds the changes since the requested revision")
@@ -40,9 +57,9 @@
 func (MemberRemoved) change()   {}
 func (Unreadable) change()      {}
 
-// Changes holds the changes that the store reported up to a revision, in order.
+// Changes holds the changes that the store reported up to a position, in order.
 type Changes struct {
-	Revision int64
+	Position Position
 	Changes  []Change
 }
 
@@ -50,8 +67,8 @@
 type Store interface {
 	// List returns the complete current state as changes from an empty state.
 	List(ctx context.Context) (Changes, error)
-	// Watch returns the changes after a revision as soon as there are any, or
+	// Watch returns the changes after a position as soon as there are any, or
 	// none once wait has elapsed. The error is ErrCompacted if the store no
 	// longer holds the changes.
-	Watch(ctx context.Context, after int64, wait time.Duration) (Changes, error)
+	Watch(ctx context.Context, after Position, wait time.Duration) (Changes, error)
 }
--- a/crocusd/internal/composer/storereader.go
+++ b/crocusd/internal/composer/storereader.go
@@ -67,8 +67,9 @@
 	n       *Node
 	tracker *observer.Tracker
 	// revision is the revision of the last response; 0 when the state must be
-	// listed.
+	// listed. era is the era of the last response.
 	revision int64
+	era      int64
 	// lost is true while the store is unreachable.
 	lost bool
 	// members is the number of members in the view that was last applied.
@@ -105,7 +106,7 @@
 	if f.revision == 0 {
 		cs, err = f.n.store.List(ctx)
 	} else {
-		cs, err = f.n.store.Watch(ctx, f.revision, wait)
+		cs, err = f.n.store.Watch(ctx, connector.Position{Era: f.era, Revision: f.revision}, wait)
 	}
 	now := f.n.clock.Now()
 	if err != nil {
@@ -113,7 +114,7 @@
 	}
 	if f.lost {
 		f.lost = false
-		f.n.log.Info("store regained", "Revision", cs.Revision)
+		f.n.log.Info("store regained", "Era", cs.Position.Era, "Revision", cs.Position.Revision)
 	}
 	f.applyChanges(now, cs)
 	return true
@@ -160,8 +161,11 @@
 	} else {
 		changed = f.tracker.ApplyChanges(now, cs)
 	}
-	f.revision = cs.Revision
-	f.n.handler.SetRevision(cs.Revision)
+	if cs.Position.Era != f.era {
+		f.n.log.Info("store restored from a copy", "Era", cs.Position.Era, "Revision", cs.Position.Revision, "EraBefore", f.era, "RevisionBefore", f.revision)
+	}
+	f.revision, f.era = cs.Position.Revision, cs.Position.Era
+	f.n.handler.SetRevision(cs.Position.Revision)
 	if f.tracker.Expire(now) || changed {
 		f.apply(now)
 	}
@@ -180,15 +184,15 @@
 func (f *storeReader) apply(now time.Duration) {
 	v := f.tracker.View()
 	f.members = len(v.Members)
-	f.n.apply(now, v, f.revision)
+	f.n.apply(now, v, connector.Position{Era: f.era, Revision: f.revision})
 }
 
 // apply configures the components of the node from a view.
-func (n *Node) apply(now time.Duration, v observer.View, revision int64) {
+func (n *Node) apply(now time.Duration, v observer.View, position connector.Position) {
 	if v.Config.Version == 0 {
 		return
 	}
-	n.log.Info("view in force", "Config", v.Config.Version, "Members", len(v.Members), "Revision", revision)
+	n.log.Info("view in force", "Config", v.Config.Version, "Members", len(v.Members), "Era", position.Era, "Revision", position.Revision)
 	byHost := newestByHost(v.Members)
 	own := max(n.countGates(v), 1)
 	services := make(map[string]releaser.Service, len(v.Config.Services))
