observer, composer: positions of the store are ordered by era

What callers saw: 404 for a route whose configuration had been confirmed 5 s before (CONFIG), from a node that was cut off while the store came back from a copy; with a copy that still held the entry of a removed server, requests to it. Cause: revisions are given out again after a return. The node watched from a revision of the era before, which the store had passed again, and skipped the change that had got a lower one; the log shows a watch from 22 go on at 23 and the change at 22. Nodes in touch gave up good watches because the highest revision of their peers was of the era before. Change: positions carry the era. A watch answered in a later era leads to a list; nodes behind in the era list too; removed entries that a copy brings back are suspended until their server reports or 6 s have passed.

--- a/core/observer/tracker.go
+++ b/core/observer/tracker.go
@@ -13,6 +13,15 @@
 // of the store. Live servers have registered again by then.
 const RecoveryGrace = 1800 * time.Millisecond
 
+const (
+	// SuspensionTime is how long an entry that comes back with the copy from which
+	// the store was restored is not used. The store removes the entry of a server
+	// that is gone after three status report intervals of 1.5 s.
+	SuspensionTime = 6 * time.Second
+	// removalTime is how long removals are remembered. Copies are some seconds old.
+	removalTime = 2 * time.Minute
+)
+
 // View is an immutable snapshot of the configuration and the members.
 type View struct {
 	Config  connector.Config
@@ -26,6 +35,19 @@
 	// then kept until removeAt.
 	missing  bool
 	removeAt time.Duration
+	// suspended is true for an entry that was removed before the store was
+	// restored from a copy that still held it. It is used from resumeAt, unless
+	// the store removes it again.
+	suspended bool
+	resumeAt  time.Duration
+}
+
+// removal records that the store removed an entry.
+type removal struct {
+	member connector.Member
+	// era is that of the store at the removal.
+	era int64
+	at  time.Duration
 }
 
 // Tracker builds the view from the answers and failures of reads of the store.
@@ -33,6 +55,11 @@
 type Tracker struct {
 	config  connector.Config
 	entries map[string]entry
+	// removed holds the removals of the last removalTime by instance.
+	removed map[string]removal
+	// era is the era of the store in the last list.
+	era    int64
+	listed bool
 	// failing is true from the first failed read until the next successful one.
 	failing      bool
 	failingSince time.Duration
@@ -42,7 +69,9 @@
 }
 
 // New returns a tracker with an empty view.
-func New() *Tracker { return &Tracker{entries: make(map[string]entry)} }
+func New() *Tracker {
+	return &Tracker{entries: make(map[string]entry), removed: make(map[string]removal)}
+}
 
 // minOutage is the time for which reads must fail before the store counts as
 // having been unavailable. A single broken watch that the next call answers is
@@ -67,12 +96,16 @@
 }
 
 // WatchWait returns how long the next watch may wait: at most longest, and no
-// longer than until the next missing entry must be removed.
+// longer than until the next missing entry must be removed or the next suspended
+// one used.
 func (t *Tracker) WatchWait(now, longest time.Duration) time.Duration {
 	for _, e := range t.entries {
 		if e.missing {
 			longest = min(longest, max(e.removeAt-now, time.Millisecond))
 		}
+		if e.suspended {
+			longest = min(longest, max(e.resumeAt-now, time.Millisecond))
+		}
 	}
 	return longest
 }
@@ -81,6 +114,11 @@
 // changed.
 func (t *Tracker) ApplyList(now time.Duration, cs connector.Changes) bool {
 	t.endOutage(now)
+	if t.listed && cs.Position.Era > t.era {
+		// The copy may lack entries of live servers, which register again.
+		t.graceUntil = now + RecoveryGrace
+	}
+	t.era, t.listed = cs.Position.Era, true
 	before := t.View()
 	present := make(map[string]bool, len(cs.Changes))
 	for _, c := range cs.Changes {
@@ -129,17 +167,41 @@
 		if old, ok := t.entries[c.Member.Instance]; ok && c.Member.Older(old.member) {
 			return
 		}
-		t.entries[c.Member.Instance] = entry{member: c.Member}
+		t.entries[c.Member.Instance] = t.newEntry(now, c.Member)
 	case connector.MemberRemoved:
 		t.markMissing(now, c.Instance)
 	case connector.Unreadable:
 		// The previous value of the entry was overwritten with one that describes
 		// no member. An outage of the store cannot cause that, so there is no
 		// grace period.
-		delete(t.entries, c.Instance)
+		t.remove(now, c.Instance)
 	}
 }
 
+// newEntry returns the entry of a member that the store holds. It is suspended if
+// the store has removed it in an earlier era and the member has reported nothing
+// since: the entry may come from the copy alone.
+func (t *Tracker) newEntry(now time.Duration, m connector.Member) entry {
+	gone, ok := t.removed[m.Instance]
+	if !ok || gone.era == t.era || gone.member.Older(m) {
+		delete(t.removed, m.Instance)
+		return entry{member: m}
+	}
+	if old, ok := t.entries[m.Instance]; ok && old.suspended {
+		return entry{member: m, suspended: true, resumeAt: old.resumeAt}
+	}
+	return entry{member: m, suspended: true, resumeAt: now + SuspensionTime}
+}
+
+// remove removes an entry and remembers the removal.
+func (t *Tracker) remove(now time.Duration, instance string) {
+	if e, ok := t.entries[instance]; ok {
+		t.removed[instance] = removal{e.member, t.era, now}
+		delete(t.entries, instance)
+	}
+	maps.DeleteFunc(t.removed, func(_ string, r removal) bool { return now-r.at > removalTime })
+}
+
 // markMissing handles an entry that the store no longer holds. It removes the
 // entry at once, or at the end of the grace period if one is running. The entry
 // of a draining member is always removed at once.
@@ -148,8 +210,8 @@
 	if !ok {
 		return
 	}
-	if now >= t.graceUntil || e.member.Draining {
-		delete(t.entries, instance)
+	if now >= t.graceUntil || e.member.Draining || e.suspended {
+		t.remove(now, instance)
 		return
 	}
 	if !e.missing {
@@ -158,19 +220,32 @@
 	}
 }
 
-// Expire removes the missing entries whose grace period is over and reports
-// whether the view changed.
+// Expire removes the missing entries whose grace period is over, resumes the
+// suspended ones whose time is over, and reports whether the view changed.
 func (t *Tracker) Expire(now time.Duration) bool {
-	n := len(t.entries)
-	maps.DeleteFunc(t.entries, func(_ string, e entry) bool { return e.missing && now >= e.removeAt })
-	return len(t.entries) != n
+	changed := false
+	for _, instance := range slices.Sorted(maps.Keys(t.entries)) {
+		e := t.entries[instance]
+		switch {
+		case e.missing && now >= e.removeAt:
+			t.remove(now, instance)
+			changed = true
+		case e.suspended && now >= e.resumeAt:
+			delete(t.removed, instance)
+			t.entries[instance] = entry{member: e.member}
+			changed = true
+		}
+	}
+	return changed
 }
 
 // View returns the current view.
 func (t *Tracker) View() View {
 	v := View{Config: t.config, Members: make([]connector.Member, 0, len(t.entries))}
 	for _, e := range t.entries {
-		v.Members = append(v.Members, e.member)
+		if !e.suspended {
+			v.Members = append(v.Members, e.member)
+		}
 	}
 	slices.SortFunc(v.Members, func(a, b connector.Member) int { return cmp.Compare(a.Instance, b.Instance) })
 	return v
--- a/crocusd/internal/composer/composer.go
+++ b/crocusd/internal/composer/composer.go
@@ -86,8 +86,8 @@
 	store    *platform.Store
 	// leaving is true once the node has begun to shut down.
 	leaving atomic.Bool
-	// peerRevision tracks the newest store revision that a peer has read.
-	peerRevision *peerRevision
+	// peerPosition tracks the latest position of the store that a peer has read.
+	peerPosition *peerPosition
 	// service is the service of the local backend server.
 	service atomic.Pointer[string]
 	// regions maps the failure domains in the settings to their regions.
@@ -117,7 +117,7 @@
 	n := &Node{
 		cfg: cfg, log: program, flushLog: lines.Close, clock: timekeeper.NewClock(),
 		self:     gatekeeper.Incarnation{Service: cfg.Node.Service, Address: cfg.Node.Link, BootID: gatekeeper.NewBootID()},
-		linkPort: port, backendHost: host, regions: regionsOf(cfg.Platform.Regions), peerRevision: newPeerRevision(),
+		linkPort: port, backendHost: host, regions: regionsOf(cfg.Platform.Regions), peerPosition: newPeerPosition(),
 		store: platform.NewStore(hostOf(cfg.Platform.URL)), backend: platform.NewBackend(hostOf(cfg.Backend.URL)),
 	}
 	n.service.Store(&cfg.Node.Service)
@@ -145,7 +145,7 @@
 		Gate:      gatekeeper.Config{MaxRecords: maxRecords, MaxAnswerBytes: maxAnswerBytes, MaxBytesPerAnswer: holdAnswerBytes},
 	}, n.backend, n.self, n.clock, runs, calls, levels, n.rec)
 	n.forward = forwarder.New(forwarder.Config{
-		HoldAnswerBytes: holdAnswerBytes, MaxTransparentRetries: maxTransparentRetries, OnRevision: n.peerRevision.observe,
+		HoldAnswerBytes: holdAnswerBytes, MaxTransparentRetries: maxTransparentRetries, OnPosition: n.peerPosition.observe,
 		FindUpstreams: func(context.Context, string) bool { return false },
 	}, n.self.BootID, n.clock, n.links, n.router, levels, calls, n.rec)
 	n.dispatch = dispatcher.New(n.forward, runs, n.rec)
--- a/crocusd/internal/composer/storereader.go
+++ b/crocusd/internal/composer/storereader.go
@@ -36,8 +36,8 @@
 	maxBackoff = 500 * time.Millisecond
 )
 
-// errBehind cancels a watch that has missed a revision which a peer has read.
-var errBehind = errors.New("a peer has read a newer store revision than this watch returned")
+// errBehind cancels a watch that has missed a position which a peer has read.
+var errBehind = errors.New("a peer has read a later position of the store than this watch returned")
 
 // readStore reads the store and applies its state until ctx is done.
 func (n *Node) readStore(ctx context.Context) {
@@ -45,12 +45,12 @@
 	var debounce debouncer
 	failures := 0
 	for ctx.Err() == nil {
-		before, began := f.revision, n.clock.Now()
+		before, watched, began := f.position, f.listed, n.clock.Now()
 		read := false
 		n.isolator.Run("read of the store", "", func() { read = f.read(ctx) })
 		if read {
 			failures = 0
-			if before > 0 && f.revision > before {
+			if watched && before.Before(f.position) {
 				timekeeper.Sleep(ctx, debounce.next(n.clock.Now()-began))
 			}
 			continue
@@ -66,10 +66,10 @@
 type storeReader struct {
 	n       *Node
 	tracker *observer.Tracker
-	// revision is the revision of the last response; 0 when the state must be
-	// listed. era is the era of the last response.
-	revision int64
-	era      int64
+	// position is the position of the last response.
+	position connector.Position
+	// listed is false while the state must be listed.
+	listed bool
 	// lost is true while the store is unreachable.
 	lost bool
 	// members is the number of members in the view that was last applied.
@@ -87,28 +87,31 @@
 func (f *storeReader) read(ctx context.Context) bool {
 	began := f.n.clock.Now()
 	wait := f.tracker.WatchWait(began, watchWait(f.members))
-	if f.revision == 0 || f.lost {
+	if !f.listed || f.lost {
 		wait = 0 // Only checks whether the store responds at all.
 	}
 	ctx, cancel := context.WithTimeout(ctx, wait+storeTimeout)
 	defer cancel()
 	ctx, abandon := context.WithCancelCause(ctx)
 	defer abandon(nil)
-	if revision := f.revision; revision > 0 {
+	if position := f.position; f.listed {
 		go func() {
-			if f.n.peerRevision.waitBehind(ctx, revision) {
+			if f.n.peerPosition.waitBehind(ctx, position) {
 				abandon(errBehind)
 			}
 		}()
 	}
 	var cs connector.Changes
 	var err error
-	if f.revision == 0 {
-		cs, err = f.n.store.List(ctx)
+	if f.listed {
+		cs, err = f.n.store.Watch(ctx, f.position, wait)
 	} else {
-		cs, err = f.n.store.Watch(ctx, connector.Position{Era: f.era, Revision: f.revision}, wait)
+		cs, err = f.n.store.List(ctx)
 	}
 	now := f.n.clock.Now()
+	if err == nil {
+		err = observer.CheckEra(f.position, cs.Position, f.listed)
+	}
 	if err != nil {
 		return f.handleError(ctx, began, now, err)
 	}
@@ -125,11 +128,22 @@
 func (f *storeReader) handleError(ctx context.Context, began, now time.Duration, err error) bool {
 	switch {
 	case errors.Is(err, connector.ErrCompacted):
-		f.n.log.Info("store dropped its history; listing it again", "Revision", f.revision)
-		f.revision = 0
+		f.n.log.Info("store dropped its history; listing it again", "Era", f.position.Era, "Revision", f.position.Revision)
+		f.listed = false
+		return true
+	case errors.Is(err, observer.ErrRestored):
+		f.n.log.Info("store was restored from a copy; listing it again", "EraBefore", f.position.Era, "RevisionBefore", f.position.Revision)
+		f.listed = false
 		return true
 	case errors.Is(context.Cause(ctx), errBehind):
-		f.n.log.Info("watch of the store is behind; asking again", "Revision", f.revision, "Peer", f.n.peerRevision.highest.Load())
+		peer := f.n.peerPosition.highest()
+		f.n.log.Info("watch of the store is behind; asking again",
+			"Era", f.position.Era, "Revision", f.position.Revision, "PeerEra", peer.Era, "PeerRevision", peer.Revision)
+		if f.position.Era < peer.Era {
+			// A watch from a revision of the era before may wait although the
+			// restored store holds other changes.
+			f.listed = false
+		}
 		// A store that returns this node less than it returned a peer is read no
 		// more often than after a failure.
 		f.tracker.RecordFailure(now)
@@ -143,7 +157,7 @@
 	f.tracker.RecordFailure(now)
 	if !f.lost {
 		f.lost = true
-		f.n.log.Info("store lost", "Revision", f.revision, "Error", err.Error())
+		f.n.log.Info("store lost", "Era", f.position.Era, "Revision", f.position.Revision, "Error", err.Error())
 	}
 	return false
 }
@@ -156,16 +170,13 @@
 		}
 	}
 	changed := false
-	if f.revision == 0 {
-		changed = f.tracker.ApplyList(now, cs)
-	} else {
+	if f.listed {
 		changed = f.tracker.ApplyChanges(now, cs)
+	} else {
+		changed = f.tracker.ApplyList(now, cs)
 	}
-	if cs.Position.Era != f.era {
-		f.n.log.Info("store restored from a copy", "Era", cs.Position.Era, "Revision", cs.Position.Revision, "EraBefore", f.era, "RevisionBefore", f.revision)
-	}
-	f.revision, f.era = cs.Position.Revision, cs.Position.Era
-	f.n.handler.SetRevision(cs.Position.Revision)
+	f.position, f.listed = cs.Position, true
+	f.n.handler.SetPosition(cs.Position)
 	if f.tracker.Expire(now) || changed {
 		f.apply(now)
 	}
@@ -184,7 +195,7 @@
 func (f *storeReader) apply(now time.Duration) {
 	v := f.tracker.View()
 	f.members = len(v.Members)
-	f.n.apply(now, v, connector.Position{Era: f.era, Revision: f.revision})
+	f.n.apply(now, v, f.position)
 }
 
 // apply configures the components of the node from a view.
--- a/crocusd/internal/forwarder/forwarder.go
+++ b/crocusd/internal/forwarder/forwarder.go
@@ -8,6 +8,7 @@
 
 	"crocustack/core/admitter"
 	"crocustack/core/budgeter"
+	"crocustack/core/connector"
 	"crocustack/core/encoder"
 	"crocustack/core/gatekeeper"
 	"crocustack/core/linker"
@@ -29,9 +30,9 @@
 	// FindUpstreams looks for upstreams of a service for which the router has
 	// none. It may block briefly and returns true when it has found some.
 	FindUpstreams func(ctx context.Context, service string) bool
-	// OnRevision is called with the store revision that a peer reports to have
-	// read. It may be nil.
-	OnRevision func(revision int64)
+	// OnPosition is called with the position of the store that a peer reports to
+	// have read. It may be nil.
+	OnPosition func(connector.Position)
 	// MaxTransparentRetries bounds how often a request that has not reached a
 	// backend server may be sent to another upstream without spending a unit of
 	// allowance.
@@ -233,8 +234,8 @@
 	}
 	now := f.clock.Now()
 	f.levels.Observe(now, q.Service, q.Kind.Name, ld.GetLevel())
-	if f.cfg.OnRevision != nil {
-		f.cfg.OnRevision(ld.GetRevision())
+	if f.cfg.OnPosition != nil {
+		f.cfg.OnPosition(connector.Position{Era: ld.GetEra(), Revision: ld.GetRevision()})
 	}
 	if ld.GetServerLeaving() {
 		f.router.MarkDeparting(now, q.Service, u.Address, u.Instance)
--- a/crocusd/internal/handler/answer.go
+++ b/crocusd/internal/handler/answer.go
@@ -28,9 +28,10 @@
 	h.notices.Seen(h.clock.Now(), admitter.GateKind{Service: m.GetService(), Name: m.GetKind()})
 	h.noticesMu.Unlock()
 	ld := h.admission.load()
+	position := h.storePosition()
 	return &encoder.Load{
 		InFlight: uint32(ld.InFlight), Queued: uint32(ld.Queued), Limit: uint32(ld.Limit),
-		Level: h.effectiveLevel(m.GetKind(), ld.Level), Draining: h.Draining(), Revision: h.revision.Load(),
+		Level: h.effectiveLevel(m.GetKind(), ld.Level), Draining: h.Draining(), Era: position.Era, Revision: position.Revision,
 		RateLimit: ld.RateLimit, RateLoad: ld.RateLoad, ServerLeaving: h.serverLeaving(m.GetInstance()),
 	}
 }
--- a/crocusd/internal/handler/handler.go
+++ b/crocusd/internal/handler/handler.go
@@ -64,9 +64,9 @@
 	stateMu sync.Mutex
 	state   statedState
 
-	// revision is the revision of the platform's store that the node has read;
-	// 0 for none.
-	revision atomic.Int64
+	// position is the position of the platform's store that the node has read;
+	// nil for none.
+	position atomic.Pointer[connector.Position]
 	draining atomic.Bool
 	active   atomic.Int64
 }
@@ -126,8 +126,16 @@
 	h.admission.setLimits(slots, queueTime, queueLength)
 }
 
-// SetRevision sets the store revision that answers report.
-func (h *Handler) SetRevision(revision int64) { h.revision.Store(revision) }
+// SetPosition sets the position of the store that answers report.
+func (h *Handler) SetPosition(p connector.Position) { h.position.Store(&p) }
+
+// storePosition returns the position of the store that the node has read.
+func (h *Handler) storePosition() connector.Position {
+	if p := h.position.Load(); p != nil {
+		return *p
+	}
+	return connector.Position{}
+}
 
 // Load returns the current load for the admin API.
 func (h *Handler) Load() admitter.Load { return h.admission.load() }
