--- a/core/connector/backend.go
+++ b/core/connector/backend.go
@@ -31,19 +31,6 @@
 //sumtype:decl
 type Reply interface{ reply() }
 
-// ServerState is what a response of the backend server states about the server
-// itself.
-type ServerState struct {
-	// RateLimited is true if the backend server states a rate limit. RateLimit is
-	// then the number of requests a second that it accepts from all callers
-	// together, at least 0.
-	RateLimited bool
-	RateLimit   float64
-	// Leaving is true if the backend server is about to exit and is to get no new
-	// work.
-	Leaving bool
-}
-
 // Answered carries the response of the backend server. Body must be closed. A
 // read error other than io.EOF means that the response is truncated.
 type Answered struct {
--- a/crocusd/internal/handler/backend.go
+++ b/crocusd/internal/handler/backend.go
@@ -25,7 +25,10 @@
 	HeaderRequest  = "Crocus-Request"
 	HeaderOutcome  = "Crocus-Outcome"
 	HeaderDraining = "Crocus-Draining"
-	headerTrace    = "Traceparent"
+	// HeaderRateLimit is the number of requests a second, as a decimal number,
+	// that the backend server accepts, for as long as its responses state it.
+	HeaderRateLimit = "Crocus-Rate-Limit"
+	headerTrace     = "Traceparent"
 )
 
 // maxIdleConns is large enough to keep one connection per concurrent request
@@ -92,11 +95,12 @@
 		}
 		return connector.NotRun{Reason: resolver.ReasonBackendUnreachable}
 	}
+	state := connector.ServerState{}.WithRateLimit(resp.Header.Get(HeaderRateLimit))
 	if resp.StatusCode == http.StatusServiceUnavailable && resp.Header.Get(HeaderOutcome) == "NotRun" {
 		_ = resp.Body.Close()
-		return connector.NotRun{Reason: resolver.ReasonBackendRefused, Draining: resp.Header.Get(HeaderDraining) == "true"}
+		return connector.NotRun{Reason: resolver.ReasonBackendRefused, Draining: resp.Header.Get(HeaderDraining) == "true", State: state}
 	}
-	return connector.Answered{Status: resp.StatusCode, Headers: ForwardableHeaders(resp.Header), Body: resp.Body}
+	return connector.Answered{Status: resp.StatusCode, Headers: ForwardableHeaders(resp.Header), Body: resp.Body, State: state}
 }
 
 func (b *httpBackend) request(ctx context.Context, c connector.Call) (*http.Request, error) {
--- a/crocusd/internal/handler/serverstate_test.go
+++ b/crocusd/internal/handler/serverstate_test.go
@@ -1,6 +1,8 @@
 package handler
 
 import (
+	"net/http"
+	"net/http/httptest"
 	"testing"
 	"time"
 
@@ -45,3 +47,37 @@
 		t.Error("another instance is reported as leaving")
 	}
 }
+
+// TestHTTPBackendStatesRate guards against a rate limit of a backend server with
+// the project's own interface that has no effect, and against passing the header
+// on to callers.
+func TestHTTPBackendStatesRate(t *testing.T) {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set(HeaderRateLimit, "2.5")
+		if r.URL.Path == "/refused" {
+			w.Header().Set(HeaderOutcome, "NotRun")
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	}))
+	defer server.Close()
+	want := connector.ServerState{RateLimited: true, RateLimit: 2.5}
+	for _, path := range []string{"/", "/refused"} {
+		var got connector.ServerState
+		switch r := NewHTTPBackend(server.URL).Do(t.Context(), connector.Call{Method: http.MethodGet, Path: path}).(type) {
+		case connector.Answered:
+			got = r.State
+			for _, h := range r.Headers {
+				if h.GetName() == HeaderRateLimit {
+					t.Errorf("%s: the header is passed on", path)
+				}
+			}
+			_ = r.Body.Close()
+		case connector.NotRun:
+			got = r.State
+		case connector.Unknown:
+		}
+		if d := cmp.Diff(want, got); d != "" {
+			t.Errorf("%s: -want +got:\n%s", path, d)
+		}
+	}
+}
