--- a/core/informer/status.go
+++ b/core/informer/status.go
@@ -77,6 +77,10 @@
 	Queued   int
 	// Level is the admission level of the gate, 0 to 512.
 	Level uint32
+	// RateLimit is the rate limit that the backend server states, in requests a
+	// second, or 0 for none. RateLoad is the rate of arrivals as a fraction of it.
+	RateLimit float64 `json:",omitempty"`
+	RateLoad  float64 `json:",omitempty"`
 	// Levels holds the admission levels above 0 that called services reported
 	// in their responses.
 	Levels []Level `json:",omitempty"`
--- a/crocusctl/internal/commander/top.go
+++ b/crocusctl/internal/commander/top.go
@@ -28,6 +28,21 @@
 	Level                          uint32
 	Goodput, Sheds                 float64
 	Draining                       bool
+	// RateLimit is the rate limit that the backend server states, in requests a
+	// second, or 0 for none.
+	RateLimit float64 `json:",omitempty"`
+}
+
+// state describes what is unusual about the node, for the table.
+func (n NodeLoad) state() string {
+	var parts []string
+	if n.Draining {
+		parts = append(parts, "draining")
+	}
+	if n.RateLimit > 0 {
+		parts = append(parts, fmt.Sprintf("server limits itself to %g/s", n.RateLimit))
+	}
+	return strings.Join(parts, ", ")
 }
 
 // TopReport is the output of top.
@@ -111,8 +126,9 @@
 		r.Nodes = append(r.Nodes, NodeLoad{
 			Node: n.address, Service: s.Service, InFlight: s.Limits.InFlight, Queued: s.Limits.Queued,
 			Limit: s.Limits.Limit, Slots: s.Limits.Slots, Level: s.Limits.Level, Draining: s.Draining,
-			Goodput: rate(b.sumCounters("Answers.Ran."), a.sumCounters("Answers.Ran."), d),
-			Sheds:   rate(b.sumCounters("Decisions.Shed."), a.sumCounters("Decisions.Shed."), d),
+			RateLimit: s.Limits.RateLimit,
+			Goodput:   rate(b.sumCounters("Answers.Ran."), a.sumCounters("Answers.Ran."), d),
+			Sheds:     rate(b.sumCounters("Decisions.Shed."), a.sumCounters("Decisions.Shed."), d),
 		})
 	}
 	return r
@@ -121,12 +137,8 @@
 func (r TopReport) table(w io.Writer) {
 	row(w, "NODE", "SERVICE", "RUNNING", "QUEUED", "LIMIT", "SLOTS", "LEVEL", "GOODPUT/S", "SHEDS/S", "STATE")
 	for _, n := range r.Nodes {
-		state := ""
-		if n.Draining {
-			state = "draining"
-		}
 		row(w, n.Node, n.Service, n.InFlight, n.Queued, n.Limit, n.Slots, n.Level,
-			fmt.Sprintf("%.1f", n.Goodput), fmt.Sprintf("%.1f", n.Sheds), state)
+			fmt.Sprintf("%.1f", n.Goodput), fmt.Sprintf("%.1f", n.Sheds), n.state())
 	}
 	printUnreachable(w, r.Unreachable)
 }
--- a/crocusd/internal/runner/peers.go
+++ b/crocusd/internal/runner/peers.go
@@ -107,7 +107,8 @@
 // Limits implements administrator.Node.
 func (n *Node) Limits() informer.Limits {
 	ld := n.handler.Load()
-	limits := informer.Limits{Slots: n.slots(n.view()), Limit: ld.Limit, InFlight: ld.InFlight, Queued: ld.Queued, Level: ld.Level}
+	limits := informer.Limits{Slots: n.slots(n.view()), Limit: ld.Limit, InFlight: ld.InFlight, Queued: ld.Queued, Level: ld.Level,
+		RateLimit: ld.RateLimit, RateLoad: ld.RateLoad}
 	for _, l := range n.levels.All(n.clock.Now()) {
 		limits.Levels = append(limits.Levels, informer.Level(l))
 	}
