--- a/crocusfake/internal/commander/soak.go
+++ b/crocusfake/internal/commander/soak.go
@@ -20,9 +20,10 @@
 stand-ins for store, backend servers and clients, and injects faults from outside:
 processes killed, stopped, paused and hung up; links delayed, silenced, blocked
 one way or both, and closed; a store that is down, slow, forgets or can't be
-reached by some; configurations, drains, replaced backend servers and lost
-answers. Runs one seed after the other; exits non-zero on a breach and
-keeps settings and logs of that seed then.`,
+reached by some, or comes back from a copy; configurations, drains, replaced
+backend servers, some that limit themselves, and lost answers. Runs one seed
+after the other; exits non-zero on a breach and keeps settings and logs of that
+seed then.`,
 	create: func() command { return &soakCommand{} },
 }
 
--- a/crocusfake/internal/soaker/faults.go
+++ b/crocusfake/internal/soaker/faults.go
@@ -76,6 +76,7 @@
 		m.mu.Lock()
 		old := m.entry.Instance
 		next := fmt.Sprint(old, "r")
+		m.replaced = append(m.replaced, old)
 		m.mu.Unlock()
 		m.backend.Restart(next)
 		time.Sleep(d / 2)
@@ -87,7 +88,8 @@
 
 // allFaults extends basicFaults with faults on single paths of a machine: one
 // direction of its links, its connection to the store, and the answers of its
-// backend server.
+// backend server; with a store that is restored from a copy, and with backend
+// servers that state a rate limit.
 var allFaults = append(slices.Clip(basicFaults), []fault{
 	{"cut links one way", toggled(func(_ *fleet, m *machine, on bool) { m.relay.SetOneWay(on) })},
 	{"cut from the store", toggled(func(_ *fleet, m *machine, on bool) { m.storeRelay.SetBlocked(on) })},
@@ -100,6 +102,8 @@
 		m.backend.DropAnswers(false)
 		return nil
 	}},
+	{"restore the store", func(f *fleet, _ *machine, d time.Duration) error { f.restoreStore(d / 2); return nil }},
+	{"state a rate", func(f *fleet, m *machine, d time.Duration) error { f.stateRate(m, d); return nil }},
 }...)
 
 // scheduledFault is one entry of a seed's schedule.
--- a/crocusfake/internal/soaker/fleet.go
+++ b/crocusfake/internal/soaker/fleet.go
@@ -42,9 +42,11 @@
 	dir        string
 
 	mu sync.Mutex
-	// entry is the backend server's entry in the store.
-	entry connector.Member
-	cmd   *exec.Cmd
+	// entry is the backend server's entry in the store. replaced holds the
+	// instances that it had before.
+	entry    connector.Member
+	replaced []string
+	cmd      *exec.Cmd
 	// events records the events that decide whether the end of cmd is a failure.
 	events processEvents
 	ended  chan struct{}
@@ -227,9 +229,7 @@
 	atStart := m.events.endedBySIGHUPAtStart(cmd.ProcessState, time.Now())
 	m.mu.Unlock()
 	if !expected && !atStart {
-		f.mu.Lock()
-		f.failures = append(f.failures, fmt.Sprintf("the node at %s ended by itself: %v", m.address, err))
-		f.mu.Unlock()
+		f.fail(fmt.Sprintf("the node at %s ended by itself: %v", m.address, err))
 	}
 	close(ended)
 	if expected || f.closing.Load() {
@@ -237,9 +237,7 @@
 	}
 	time.Sleep(platformRestartDelay)
 	if err := f.start(m); err != nil {
-		f.mu.Lock()
-		f.failures = append(f.failures, err.Error())
-		f.mu.Unlock()
+		f.fail(err.Error())
 	}
 }
 
@@ -291,6 +289,11 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.version++
+	f.publishVersion()
+}
+
+// publishVersion writes the newest configuration. The caller holds mu.
+func (f *fleet) publishVersion() {
 	f.store.Publish(connector.Config{
 		Version: f.version,
 		Routes: []connector.Route{
