--- a/core/admitter/admitter.go
+++ b/core/admitter/admitter.go
@@ -16,103 +16,6 @@
 // the level is computed from it.
 const rateBoundHold = time.Second
 
-// Config holds the settings of an Admitter. Zero fields take the defaults.
-type Config struct {
-	// Slots is the number of requests that the backend server can run at once.
-	// The limit never exceeds it. At least 1.
-	Slots int
-	// QueueTime is the longest time in the queue; default 50 ms, or 5 s if
-	// CapacityKnown.
-	QueueTime time.Duration
-	// QueueLength is the largest number of queued requests; default 4 × Slots,
-	// at least 64.
-	QueueLength int
-	// Target is the acceptable queueing delay; default QueueTime / 2.
-	Target time.Duration
-	// CapacityKnown is true if Slots is the known capacity of the backend
-	// server. The limit is then fixed at LimitShare × Slots, a request may be
-	// queued while it can still be answered before its deadline, and the level
-	// is computed from demand and capacity. Otherwise the limit adapts to
-	// latency and refusals, and the level to the queueing delay.
-	CapacityKnown bool
-	// LimitShare is the share of Slots that the limit uses if CapacityKnown;
-	// default 0.95, since many servers slow down close to saturation.
-	LimitShare float64
-	// RampTime is the time from a cold start to the full limit; default 3 s,
-	// negative for no ramp.
-	RampTime time.Duration
-}
-
-func (c Config) withDefaults() Config {
-	c.Slots = max(c.Slots, 1)
-	if c.QueueTime <= 0 {
-		c.QueueTime = 50 * time.Millisecond
-		if c.CapacityKnown {
-			c.QueueTime = 5 * time.Second
-		}
-	}
-	if c.LimitShare <= 0 {
-		c.LimitShare = 0.95
-	}
-	if c.Target <= 0 {
-		c.Target = c.QueueTime / 2
-	}
-	if c.RampTime == 0 {
-		c.RampTime = 3 * time.Second
-	}
-	return c
-}
-
-// Request holds the properties of a request that a decision depends on.
-type Request struct {
-	// ID is unique among the requests that are queued or in flight.
-	ID    uint64
-	Class classifier.Class
-	// Kind selects the latency baseline. Requests without a kind share one.
-	Kind string
-	// Depth is the depth of the call in its tree: 0 for the request that began
-	// the tree, 1 for the calls that it makes, and so on.
-	Depth  uint32
-	TreeID uint64
-	// AppliedLevel is the admission level that was applied to the tree at the
-	// node where it began. It gives the share of trees that was refused there.
-	AppliedLevel uint32
-	// Deadline is the time after which the answer is useless; 0 for none.
-	Deadline time.Duration
-	// LastChoice is true if the sender has no other upstream to try. Only such a
-	// request waits for the rate limit of the backend server.
-	LastChoice bool
-}
-
-// Result describes how an admitted request ended.
-type Result struct {
-	Latency time.Duration
-	// Refused: the backend server rejected the request without running it.
-	Refused bool
-	// Cancelled: the caller cancelled the request or the deadline passed. The
-	// latency is not sampled, since the request would have taken longer.
-	Cancelled bool
-	// Failed: the backend server answered with an error. The latency is not
-	// sampled, since errors are often faster than successful answers.
-	Failed bool
-}
-
-// Load is the state that a node reports to its peers.
-type Load struct {
-	InFlight, Queued, Limit int
-	Level                   uint32
-	// RateLimit is the rate limit of the backend server in requests a second, or 0
-	// for none. RateLoad is the rate of arrivals as a fraction of it.
-	RateLimit, RateLoad float64
-}
-
-type running struct {
-	class    classifier.Class
-	latency  *latencyStats
-	kind     string
-	inFlight int // Number in flight at the admission, this request included.
-}
-
 // Admitter is the admission controller of one gate. It is not safe for
 // concurrent use. Time must not go backwards from call to call.
 type Admitter struct {
@@ -361,11 +264,10 @@
 // Load returns the state to report to peers. The limit is that of the last call.
 func (a *Admitter) Load() Load {
 	return Load{
-		InFlight: len(a.inFlight),
-		Queued:   a.queue.len,
-		Limit:    a.limiter.lastEffective,
-		Level:    a.level(),
-
+		InFlight:  len(a.inFlight),
+		Queued:    a.queue.len,
+		Limit:     a.limiter.lastEffective,
+		Level:     a.level(),
 		RateLimit: a.rate.perSecond,
 		RateLoad:  a.rate.load(),
 	}
