handler, forwarder: stored answers report the departure of their server

Cause: an answer that a sender asks for after a lost link carried no load report but Draining, so that the sender passed on Server-Leaving and did not know it. Change: stored answers report the departure, and the sender marks the run.

--- a/crocusd/internal/forwarder/forwarder.go
+++ b/crocusd/internal/forwarder/forwarder.go
@@ -248,8 +248,11 @@
 
 // receiveStored reads the stored answer that follows a VoidReply and passes it
 // to the sink.
-func (f *Forwarder) receiveStored(s *linker.Stream, run *encoder.Run, sink *trackingSink) resolver.Event {
+func (f *Forwarder) receiveStored(s receiver, run *encoder.Run, sink *trackingSink) resolver.Event {
 	got, err := receiveAnswer(s, run.GetId(), f.cfg.HoldAnswerBytes, sink)
+	if got.head.GetLoad().GetServerLeaving() {
+		f.router.MarkDeparting(f.clock.Now(), run.GetService(), run.GetTarget().GetAddress(), run.GetInstance())
+	}
 	switch e := eventOf(got, err).(type) {
 	case resolver.AnswerRan:
 		return resolver.VoidDone{Outcome: resolver.Ran(e)}
--- a/crocusd/internal/handler/serverstate_test.go
+++ b/crocusd/internal/handler/serverstate_test.go
@@ -43,6 +43,9 @@
 	if !load.GetServerLeaving() || load.GetRateLimit() != 3 {
 		t.Errorf("load %v, want a leaving server with a limit of 3", load)
 	}
+	if !h.storedLoad().GetServerLeaving() {
+		t.Error("a stored answer does not report the departure")
+	}
 	if h.loadMessage(&encoder.Run{Instance: "j"}).GetServerLeaving() {
 		t.Error("another instance is reported as leaving")
 	}
--- a/crocusd/internal/handler/void.go
+++ b/crocusd/internal/handler/void.go
@@ -72,9 +72,17 @@
 	}
 }
 
+// storedLoad returns the load report for a stored answer. Only what stays true is
+// reported: the answer may be old.
+func (h *Handler) storedLoad() *encoder.Load {
+	h.stateMu.Lock()
+	defer h.stateMu.Unlock()
+	return &encoder.Load{Draining: h.Draining(), ServerLeaving: h.state.Leaving}
+}
+
 // sendStored sends an answer that the gate has stored.
 func (h *Handler) sendStored(s *linker.Stream, id *encoder.AttemptId, a gatekeeper.Answer) {
-	head := &encoder.Answer{Id: id, Load: &encoder.Load{Draining: h.Draining()}, Responder: IncarnationMessage(h.self)}
+	head := &encoder.Answer{Id: id, Load: h.storedLoad(), Responder: IncarnationMessage(h.self)}
 	switch o := a.Outcome.(type) {
 	case resolver.Ran:
 		head.Outcome, head.Status = encoder.Outcome_OUTCOME_RAN, uint32(a.Status)
