--- a/core/admitter/admitter.go
+++ b/core/admitter/admitter.go
@@ -12,8 +12,8 @@
 // is not a burst.
 const window = 100 * time.Millisecond
 
-// rateBoundHold is how long after a request has last waited for the rate limit
-// the level is computed from it.
+// rateBoundHold is the time for which the rate level stays in force after the last
+// window in which a request waited for the rate limit.
 const rateBoundHold = time.Second
 
 // Admitter is the admission controller of one gate. It is not safe for
@@ -24,9 +24,8 @@
 	levelController levelController
 	// planner replaces the levelController if the capacity is known.
 	planner planner
-	// rate is the rate limit that the backend server states. rateBoundUntil is the
-	// time until which it counts as what bounds the service: requests without
-	// another upstream have waited for it.
+	// rate is the rate limit that the backend server states. Until rateBoundUntil
+	// the planner computes its rate level from it.
 	rate           rateLimit
 	rateBoundUntil time.Duration
 	queue          queue
--- a/core/admitter/planner.go
+++ b/core/admitter/planner.go
@@ -79,9 +79,9 @@
 	p.arrivals += weight
 }
 
-// endWindow computes the levels. limit is the number of slots, rateBound the number
-// of requests a second that the backend server accepts, or 0 if slots are what
-// bounds it, and queuedWork the expected service time of all queued requests.
+// endWindow computes the levels. limit is the number of slots and queuedWork the
+// expected service time of all queued requests. rateBound is the rate limit in
+// requests a second from which the rate level is computed, or 0 for none.
 func (p *planner) endWindow(now time.Duration, limit int, rateBound float64, queuedWork time.Duration) {
 	elapsed := now - p.lastUpdate
 	p.lastUpdate = now
@@ -107,9 +107,9 @@
 	}
 }
 
-// slotsAtRate returns the number of slots that requests occupy which arrive at a
-// rate a second in the present mix.
-func (p *planner) slotsAtRate(rate float64) float64 {
+// slotsAtRate returns the number of slots that the present mix of requests occupies
+// at the given number of requests a second.
+func (p *planner) slotsAtRate(perSecond float64) float64 {
 	total := 0.0
 	for _, d := range p.demand {
 		total += d
@@ -117,7 +117,7 @@
 	if p.arrivalRate <= 0 {
 		return total
 	}
-	return total * rate / p.arrivalRate
+	return total * perSecond / p.arrivalRate
 }
 
 // plan returns the lowest level whose passing requests fit into the slots.
--- a/core/observer/tracker.go
+++ b/core/observer/tracker.go
@@ -57,7 +57,8 @@
 	entries map[string]entry
 	// removed holds the removals of the last removalTime by instance.
 	removed map[string]removal
-	// era is the era of the store in the last list.
+	// era is the era of the store in the last list. listed is true once a list was
+	// applied.
 	era    int64
 	listed bool
 	// failing is true from the first failed read until the next successful one.
--- a/core/router/pick.go
+++ b/core/router/pick.go
@@ -162,9 +162,9 @@
 	return Chosen{Upstream: home.Upstream, Why: WhyHome}
 }
 
-// HasOther reports whether Pick could choose another upstream than the one with
+// HasAlternative reports whether Pick could choose another upstream than the one with
 // the address and the excluded ones.
-func (r *Router) HasOther(now time.Duration, name, address string, exclude []string) bool {
+func (r *Router) HasAlternative(now time.Duration, name, address string, exclude []string) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	s, ok := r.services[name]
--- a/core/router/ratelimit_test.go
+++ b/core/router/ratelimit_test.go
@@ -49,19 +49,19 @@
 	}
 }
 
-// TestHasOther guards against a request that waits at a limited upstream as if it
+// TestHasAlternative guards against a request that waits at a limited upstream as if it
 // were the last choice, or is refused there although it is.
-func TestHasOther(t *testing.T) {
+func TestHasAlternative(t *testing.T) {
 	r := New(Config{}, "a", "r", 1)
 	r.SetUpstreams(0, "s", []Upstream{{Service: "s", Address: "x", Domain: "a"}, {Service: "s", Address: "y", Domain: "b"}})
-	if !r.HasOther(0, "s", "x", nil) {
+	if !r.HasAlternative(0, "s", "x", nil) {
 		t.Error("no other upstream than x, want y")
 	}
-	if r.HasOther(0, "s", "x", []string{"y"}) {
+	if r.HasAlternative(0, "s", "x", []string{"y"}) {
 		t.Error("another upstream than x although y is excluded")
 	}
 	r.MarkUnreachable(0, "y")
-	if r.HasOther(0, "s", "x", nil) {
+	if r.HasAlternative(0, "s", "x", nil) {
 		t.Error("another upstream than x although y can't be reached")
 	}
 }
--- a/crocusd/internal/forwarder/attempt.go
+++ b/crocusd/internal/forwarder/attempt.go
@@ -177,7 +177,7 @@
 	if p.q.Ticket != nil || p.q.Key != "" || p.rateRetries >= maxRateRetries {
 		return true
 	}
-	return !p.f.router.HasOther(p.f.clock.Now(), p.q.Service, t.upstream.Address, p.excluded)
+	return !p.f.router.HasAlternative(p.f.clock.Now(), p.q.Service, t.upstream.Address, p.excluded)
 }
 
 // resolve sends the request once and drives the resolver until the outcome of
--- a/crocusd/internal/forwarder/query_test.go
+++ b/crocusd/internal/forwarder/query_test.go
@@ -17,14 +17,20 @@
 	"crocustack/crocusd/internal/tracer"
 )
 
+// newForwarder returns a Forwarder that has no links yet.
+func newForwarder(t *testing.T, upstreams *router.Router) *Forwarder {
+	t.Helper()
+	links := linker.New(linker.DefaultConfig(), logr.Discard(), nil)
+	t.Cleanup(links.Close)
+	return New(Config{}, 1, timekeeper.NewClock(), links, upstreams, admitter.NewLevels(), tracer.NewCalls(), recorder.New(logr.Discard(), 8))
+}
+
 // TestOutcomeQueriesPause guards against outcome queries that follow each other
 // without a pause while the gate can't be reached: each opens a connection and
 // logs a line, and hundreds of requests ask at the same time when a failure domain
 // is cut off.
 func TestOutcomeQueriesPause(t *testing.T) {
-	links := linker.New(linker.DefaultConfig(), logr.Discard(), nil)
-	defer links.Close()
-	f := New(Config{}, 1, timekeeper.NewClock(), links, router.New(router.Config{}, "d", "r", 1), admitter.NewLevels(), tracer.NewCalls(), recorder.New(logr.Discard(), 8))
+	f := newForwarder(t, router.New(router.Config{}, "d", "r", 1))
 	a := &attempt{
 		loop: &retryLoop{f: f, sink: &trackingSink{}},
 		run:  &encoder.Run{Target: &encoder.Incarnation{Address: "not an address"}},
--- a/crocusd/internal/forwarder/stored_test.go
+++ b/crocusd/internal/forwarder/stored_test.go
@@ -3,28 +3,20 @@
 import (
 	"testing"
 
-	"github.com/go-logr/logr"
 	"github.com/google/go-cmp/cmp"
 
-	"crocustack/core/admitter"
 	"crocustack/core/encoder"
-	"crocustack/core/linker"
-	"crocustack/core/recorder"
 	"crocustack/core/resolver"
 	"crocustack/core/router"
-	"crocustack/core/timekeeper"
-	"crocustack/crocusd/internal/tracer"
 )
 
 // TestStoredAnswerReportsDeparture guards against requests to a server that leaves
 // when the sender got the answer that says so only by asking for it after it had
 // lost its link.
 func TestStoredAnswerReportsDeparture(t *testing.T) {
-	links := linker.New(linker.DefaultConfig(), logr.Discard(), nil)
-	defer links.Close()
 	upstreams := router.New(router.Config{LastResort: true}, "d", "r", 1)
 	upstreams.SetUpstreams(0, "s", []router.Upstream{{Service: "s", Address: "a", Domain: "d", Instance: "i", StartMillis: 1}})
-	f := New(Config{}, 1, timekeeper.NewClock(), links, upstreams, admitter.NewLevels(), tracer.NewCalls(), recorder.New(logr.Discard(), 8))
+	f := newForwarder(t, upstreams)
 	id := &encoder.AttemptId{SenderBootId: 1, Sequence: 1}
 	run := &encoder.Run{Id: id, Service: "s", Instance: "i", Target: &encoder.Incarnation{Address: "a"}}
 	stored := &script{&encoder.Answer{Id: id, Outcome: encoder.Outcome_OUTCOME_UNKNOWN, Load: &encoder.Load{ServerLeaving: true}}}
--- a/crocusd/internal/handler/handler.go
+++ b/crocusd/internal/handler/handler.go
@@ -62,7 +62,7 @@
 	notices   *admitter.Notices
 
 	stateMu sync.Mutex
-	state   statedState
+	state   observedState
 
 	// position is the position of the platform's store that the node has read;
 	// nil for none.
--- a/crocusd/internal/handler/serverstate.go
+++ b/crocusd/internal/handler/serverstate.go
@@ -9,11 +9,10 @@
 	"crocustack/core/recorder"
 )
 
-// statedState is what the backend server has stated about itself.
-type statedState struct {
+// observedState is the state that the backend server stated last.
+type observedState struct {
 	connector.ServerState
-	// instance is the instance that a request named which was answered with the
-	// statement. at is the time of the answer.
+	// instance is the instance that stated it, and at the time of its answer.
 	instance string
 	at       time.Duration
 }
@@ -21,16 +20,16 @@
 // with returns the state after the answer to a request of an instance that was
 // sent at the given time. Answers can overtake each other, so that only the answer
 // to a request that was sent after the last statement withdraws it.
-func (s statedState) with(now, sent time.Duration, instance string, state connector.ServerState) statedState {
+func (s observedState) with(now, sent time.Duration, instance string, state connector.ServerState) observedState {
 	none := state == connector.ServerState{}
 	withdraws := none || s.Leaving && !state.Leaving
 	switch {
 	case withdraws && sent <= s.at:
 		return s
 	case none:
-		return statedState{}
+		return observedState{}
 	default:
-		return statedState{state, instance, now}
+		return observedState{state, instance, now}
 	}
 }
 
--- a/crocusd/internal/handler/serverstate_test.go
+++ b/crocusd/internal/handler/serverstate_test.go
@@ -18,14 +18,14 @@
 func TestOvertakenAnswerKeepsStatement(t *testing.T) {
 	leaving := connector.ServerState{Leaving: true}
 	limited := connector.ServerState{RateLimited: true, RateLimit: 3}
-	s := statedState{}.with(2, 1, "i", leaving)
-	want := statedState{leaving, "i", 2}
+	s := observedState{}.with(2, 1, "i", leaving)
+	want := observedState{leaving, "i", 2}
 	for _, late := range []connector.ServerState{{}, limited} {
-		if d := cmp.Diff(want, s.with(3, 1, "i", late), cmp.AllowUnexported(statedState{})); d != "" {
+		if d := cmp.Diff(want, s.with(3, 1, "i", late), cmp.AllowUnexported(observedState{})); d != "" {
 			t.Errorf("after an overtaken answer: -want +got:\n%s", d)
 		}
 	}
-	if d := cmp.Diff(statedState{}, s.with(4, 3, "i", connector.ServerState{}), cmp.AllowUnexported(statedState{})); d != "" {
+	if d := cmp.Diff(observedState{}, s.with(4, 3, "i", connector.ServerState{}), cmp.AllowUnexported(observedState{})); d != "" {
 		t.Errorf("after a later answer: -want +got:\n%s", d)
 	}
 }
