--- a/review/stand/upstream.go
+++ b/review/stand/upstream.go
@@ -29,11 +29,11 @@
 	readRate int
 	reply    func(r *http.Request) int
 
-	mu     sync.Mutex
-	busy   int
-	runs   []run
-	closed bool
-	l      net.Listener
+	mu    sync.Mutex
+	busy  int
+	runs  []run
+	l     net.Listener
+	conns map[net.Conn]bool
 }
 
 func (u *upstream) start() error {
@@ -41,7 +41,9 @@
 	if err != nil {
 		return err
 	}
-	u.l = l
+	u.mu.Lock()
+	u.l, u.conns = l, make(map[net.Conn]bool)
+	u.mu.Unlock()
 	go func() {
 		for {
 			c, err := l.Accept()
@@ -58,7 +60,15 @@
 const idleTimeout = 10 * time.Second
 
 func (u *upstream) serve(c net.Conn) {
-	defer func() { _ = c.Close() }()
+	u.mu.Lock()
+	u.conns[c] = true
+	u.mu.Unlock()
+	defer func() {
+		_ = c.Close()
+		u.mu.Lock()
+		delete(u.conns, c)
+		u.mu.Unlock()
+	}()
 	r := bufio.NewReader(c)
 	for {
 		_ = c.SetReadDeadline(time.Now().Add(idleTimeout))
@@ -138,6 +148,16 @@
 	return err == nil
 }
 
+// end closes the listener and all connections, as the end of the process does.
+func (u *upstream) end() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	_ = u.l.Close()
+	for c := range u.conns {
+		_ = c.Close()
+	}
+}
+
 // ran returns the runs so far.
 func (u *upstream) ran() []run {
 	u.mu.Lock()
