--- a/review/stand/descriptors.go
+++ b/review/stand/descriptors.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -32,6 +33,10 @@
 // close after the idleTimeout of the configuration, 15 s. Without the disruption the
 // users close their connections themselves.
 func descriptorsCase(rec *recorder, trouble bool) (verdict, error) {
+	var limit syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit); err != nil || limit.Cur < 2*nodeFiles {
+		return verdict{}, fmt.Errorf("the stand-ins need %d descriptors and have %d: %v", 2*nodeFiles, limit.Cur, err)
+	}
 	f, err := newFleet(rec)
 	if err != nil {
 		return verdict{}, err
--- a/review/stand/restart.go
+++ b/review/stand/restart.go
@@ -16,17 +16,18 @@
 
 const (
 	// slowReaders is the number of clients with a long answer.
-	slowReaders = 100
-	// longAnswer is the size of their answers, and readRate how many bytes a second
-	// they read.
-	longAnswer = 1960 << 10
-	readRate   = 360 << 10
+	slowReaders = 40
+	// longAnswer is the size of their answers.
+	longAnswer = 500 << 10
+	// A client reads firstPart bytes, nothing for readPause, and then the rest.
+	firstPart = 16 << 10
+	readPause = 3300 * time.Millisecond
 	// segmentBytes is the largest segment of a client outside the machine.
 	segmentBytes = 1400
 	// receiveBuffer is the socket buffer of a client.
-	receiveBuffer = 8 << 10
-	// budget is the time budget of cert-issue on the sheet of nguyenthanh-mesh.
-	budget = 6 * time.Second
+	receiveBuffer = 16 << 10
+	// budget is the time budget of book-close on the sheet of kwit-mesh.
+	budget = 5 * time.Second
 )
 
 // dialSmall connects with the segment size and the receive buffer of a client on
@@ -52,27 +53,32 @@
 	return &client{c: c, r: bufio.NewReaderSize(c, 4<<10)}, nil
 }
 
-// readSlowly reads an answer at readRate.
+// readSlowly reads an answer with a pause after its first part.
 func (k *client) readSlowly(method string) answer {
 	resp, err := http.ReadResponse(k.r, &http.Request{Method: method})
 	if err != nil {
 		return answer{err: err}
 	}
 	a := answer{status: resp.StatusCode, proof: resp.Header.Get("X-Response-Stamp"), id: resp.Header.Get("X-Attempt-Id")}
-	const step = 20 * time.Millisecond
-	start, part := time.Now(), int64(readRate)*int64(step)/int64(time.Second)
-	for n := time.Duration(1); ; n++ {
-		got, err := io.CopyN(io.Discard, resp.Body, part)
-		a.body += int(got)
-		if err == io.EOF {
-			return a
-		}
-		if err != nil {
-			a.err = fmt.Errorf("status %d, then the connection ended after %d bytes of the body: %w", a.status, a.body, err)
-			return a
-		}
-		time.Sleep(time.Until(start.Add(n * step)))
+	n, err := io.CopyN(io.Discard, resp.Body, firstPart)
+	if err == nil {
+		var rest int64
+		time.Sleep(readPause)
+		rest, err = io.Copy(io.Discard, resp.Body)
+		n += rest
+	}
+	a.body = int(n)
+	if err != nil {
+		a.err = fmt.Errorf("status %d, then the connection ended after %d bytes of the body: %w", a.status, a.body, err)
 	}
+	return a
+}
+
+// longResult is what one client got for its long answer.
+type longResult struct {
+	id   string
+	took time.Duration
+	answer
 }
 
 // restartCase restarts one node as planned while clients of another node read long
@@ -83,97 +89,106 @@
 		return verdict{}, err
 	}
 	defer f.close()
-	work := func(*http.Request) time.Duration { return 210 * time.Millisecond }
-	for _, s := range []string{"certs", "certs", "reports", "reports"} {
+	work := func(*http.Request) time.Duration { return 120 * time.Millisecond }
+	for _, s := range []string{"ksiegi", "ksiegi", "archiwum", "archiwum"} {
 		m, err := f.add(s, 183, work)
 		if err != nil {
 			return verdict{}, err
 		}
 		m.up.reply = func(r *http.Request) int {
-			if strings.HasPrefix(r.URL.Path, "/certs/long/") {
+			if r.URL.Path == longPath {
 				return longAnswer
 			}
 			return 1500
 		}
 	}
-	f.publish(7, []route{{"cert-issue", "/certs/", "unsafe", "certs", budget, 2000 * time.Millisecond, 2}}, maxBodyBytes)
+	f.publish(7, []route{{"book-close", "/ksiegi/", "unsafe", "ksiegi", budget, 1500 * time.Millisecond, 2}}, maxBodyBytes)
 	if err := f.startAll(); err != nil {
 		return verdict{}, err
 	}
 	time.Sleep(4 * time.Second) // All machines are in touch.
-	entry, restarted := f.machines[3], f.machines[0]
-
-	type result struct {
-		id   string
-		took time.Duration
-		answer
+	results, err := f.restartUnderReaders(trouble)
+	if err != nil {
+		return verdict{}, err
+	}
+	ranAt := map[string]string{}
+	for _, m := range f.machines {
+		for _, r := range m.up.ran() {
+			ranAt[r.ID] = r.Upstream + " at " + m.name
+		}
 	}
+	lost, late := 0, 0
+	for _, r := range results {
+		rec.log("%s after %.2f s: %s; run by %s", r.id, r.took.Seconds(), r.answer, ranAt[r.id])
+		switch {
+		case r.err == nil && r.body == longAnswer:
+		case r.took >= budget-100*time.Millisecond:
+			late++
+		case ranAt[r.id] != "":
+			lost++
+		}
+	}
+	return verdict{lost > 3, fmt.Sprintf("%d of %d requests from kept connections were run by a sound upstream and their connection was closed without a complete answer before the time budget; %d reached the budget",
+		lost, len(results), late)}, nil
+}
+
+// longPath is the path of the requests with a long answer.
+const longPath = "/ksiegi/long"
+
+// restartUnderReaders lets the clients of the last machine ask for long answers and restarts
+// the node of the first one meanwhile.
+func (f *fleet) restartUnderReaders(trouble bool) ([]longResult, error) {
+	entry, restarted := f.machines[len(f.machines)-1], f.machines[0]
 	var mu sync.Mutex
-	var results []result
+	var results []longResult
 	var wg sync.WaitGroup
-	for n := range slowReaders {
+	for range slowReaders {
 		k, err := dialSmall(entry.at(portOutbound))
 		if err != nil {
-			return verdict{}, err
+			return nil, err
 		}
 		defer k.close()
 		wg.Add(1)
 		go func() {
 			defer wg.Done()
 			// The connection is a kept one: it has carried a request before.
-			if first := k.do(http.MethodPost, fmt.Sprintf("/certs/short/%x", n), newID(), budget, make([]byte, 4000)); first.err != nil {
-				rec.log("first request on connection %d: %s", n, first)
+			if first := k.do(http.MethodPost, "/ksiegi/short", newID(), budget, make([]byte, 4000)); first.err != nil {
+				f.rec.log("first request on a connection: %s", first)
 				return
 			}
-			id, start := newID(), time.Now()
-			_ = k.c.SetDeadline(start.Add(budget))
-			rec.log("client at %s: %s POST /certs/long/%x on a kept connection", entry.name, id, n)
-			head := fmt.Sprintf("POST /certs/long/%x HTTP/1.1\r\nHost: %s\r\nX-Attempt-Id: %s\r\nX-Deadline-Ms: %d\r\nContent-Length: 4000\r\n\r\n%s",
-				n, host, id, budget.Milliseconds(), strings.Repeat("b", 4000))
-			a := answer{}
-			if _, a.err = io.WriteString(k.c, head); a.err == nil {
-				a = k.readSlowly(http.MethodPost)
-			}
+			got := k.askLong(f.rec, entry)
 			mu.Lock()
 			defer mu.Unlock()
-			results = append(results, result{id, time.Since(start), a})
+			results = append(results, got)
 		}()
 	}
 	time.Sleep(300 * time.Millisecond)
 	if trouble {
 		restarted.signal(syscall.SIGTERM)
-		wg.Add(1)
-		go func() {
-			defer wg.Done()
-			select {
-			case <-restarted.ended:
-			case <-time.After(6 * time.Second): // grace
-				restarted.signal(syscall.SIGKILL)
-				<-restarted.ended
-			}
-			if err := restarted.start(); err != nil {
-				rec.log("restart: %v", err)
-			}
-		}()
-	}
-	wg.Wait()
-	ranAt := map[string]string{}
-	for _, m := range f.machines {
-		for _, r := range m.up.ran() {
-			ranAt[r.ID] = r.Upstream + " at " + m.name
+		select {
+		case <-restarted.ended:
+		case <-time.After(6 * time.Second): // grace
+			restarted.signal(syscall.SIGKILL)
+			<-restarted.ended
 		}
-	}
-	lost, late := 0, 0
-	for _, r := range results {
-		rec.log("client at %s: %s after %.2f s: %s; run by %s", entry.name, r.id, r.took.Seconds(), r.answer, ranAt[r.id])
-		switch {
-		case r.err == nil && r.body == longAnswer:
-		case r.took >= budget-100*time.Millisecond:
-			late++
-		case ranAt[r.id] != "":
-			lost++
+		if err := restarted.start(); err != nil {
+			return nil, err
 		}
 	}
-	return verdict{lost > 3, fmt.Sprintf("%d of %d requests from kept connections were run by a sound upstream and their connection was closed without a complete answer before the time budget; %d reached the budget",
-		lost, len(results), late)}, nil
+	wg.Wait()
+	return results, nil
+}
+
+// askLong sends an unsafe request and reads its long answer slowly.
+func (k *client) askLong(rec *recorder, entry *machine) longResult {
+	id, start := newID(), time.Now()
+	_ = k.c.SetDeadline(start.Add(budget))
+	rec.log("client at %s: %s POST %s on a kept connection", entry.name, id, longPath)
+	head := fmt.Sprintf("POST %s HTTP/1.1\r\nHost: %s\r\nX-Attempt-Id: %s\r\nX-Deadline-Ms: %d\r\nContent-Length: 4000\r\n\r\n%s",
+		longPath, host, id, budget.Milliseconds(), strings.Repeat("b", 4000))
+	a := answer{}
+	if _, a.err = io.WriteString(k.c, head); a.err == nil {
+		a = k.readSlowly(http.MethodPost)
+	}
+	return longResult{id, time.Since(start), a}
 }
