--- a/review/stand/fleet.go
+++ b/review/stand/fleet.go
@@ -80,6 +80,9 @@
 	if err != nil {
 		return nil, err
 	}
+	running.mu.Lock()
+	running.fleets = append(running.fleets, f)
+	running.mu.Unlock()
 	f.storeAt = l.Addr().String()
 	f.store.serve(l)
 	return f, nil
--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -5,6 +5,9 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
+	"sync"
+	"syscall"
 	"time"
 )
 
@@ -28,6 +31,29 @@
 // disruption.
 var scenarios = map[string]func(rec *recorder, trouble bool) (verdict, error){}
 
+// running holds the fleets whose processes must not outlive this one.
+var running struct {
+	mu     sync.Mutex
+	fleets []*fleet
+}
+
+// endEarly ends all processes and exits when this process is told to end or has run
+// for too long.
+func endEarly() {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, os.Interrupt, syscall.SIGTERM)
+	select {
+	case <-signals:
+	case <-time.After(longest):
+	}
+	running.mu.Lock()
+	for _, f := range running.fleets {
+		f.close()
+	}
+	fmt.Println("not run: ended early")
+	os.Exit(exitNotRun)
+}
+
 func main() {
 	if len(os.Args) != 3 {
 		fmt.Fprintln(os.Stderr, "usage: stand CASE RECORD")
@@ -43,6 +69,7 @@
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(exitNotRun)
 	}
+	go endEarly()
 	trouble := os.Getenv("TROUBLE") != "0"
 	rec.log("case %s, disruption %t", os.Args[1], trouble)
 	v, err := scenario(rec, trouble)
