--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -39,7 +39,7 @@
 
 // endEarly ends all processes and exits when this process is told to end or has run
 // for too long.
-func endEarly() {
+func endEarly(rec *recorder) {
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, os.Interrupt, syscall.SIGTERM)
 	select {
@@ -50,6 +50,8 @@
 	for _, f := range running.fleets {
 		f.close()
 	}
+	rec.log("not run: ended early")
+	rec.close()
 	fmt.Println("not run: ended early")
 	os.Exit(exitNotRun)
 }
@@ -69,7 +71,7 @@
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(exitNotRun)
 	}
-	go endEarly()
+	go endEarly(rec)
 	trouble := os.Getenv("TROUBLE") != "0"
 	rec.log("case %s, disruption %t", os.Args[1], trouble)
 	v, err := scenario(rec, trouble)
