review: case 1 within the traffic of the sheet; every request, answer and run recorded

Now three machines of one zone send book-close at the rate of zone waw-a (9.9 a second each) for 1.6 s, and the node of the zone's upstream is restarted. All scripts: record.txt now holds each request, answer and run, and the ports are checked to be free before a node starts.

--- a/review/stand/born.go
+++ b/review/stand/born.go
@@ -71,7 +71,7 @@
 				case <-time.After(100 * time.Millisecond):
 				}
 				if k == nil {
-					if k, err = dial(m.at(portOutbound)); err != nil {
+					if k, err = dial(m); err != nil {
 						k = nil
 						continue
 					}
--- a/review/stand/client.go
+++ b/review/stand/client.go
@@ -30,25 +30,35 @@
 // newID returns an id of a client attempt.
 func newID() string { return fmt.Sprintf("%016x", rand.Uint64()) }
 
-// client is one connection of a client.
+// client is one connection of a client. What it sends and gets is recorded.
 type client struct {
 	c net.Conn
 	r *bufio.Reader
+	m *machine // The machine of the client and of its node.
 }
 
 // connectTimeout is the time that a client allows for a new connection.
 const connectTimeout = time.Second
 
-func dial(address string) (*client, error) {
-	c, err := net.DialTimeout("tcp", address, connectTimeout)
+// dial connects to the node of a machine.
+func dial(m *machine) (*client, error) {
+	c, err := net.DialTimeout("tcp", m.at(portOutbound), connectTimeout)
 	if err != nil {
+		m.f.rec.log("client at %s: no connection: %v", m.name, err)
 		return nil, err
 	}
-	return &client{c: c, r: bufio.NewReader(c)}, nil
+	return &client{c: c, r: bufio.NewReader(c), m: m}, nil
 }
 
 // do sends one request with the target as it stands and reads the answer.
 func (k *client) do(method, target, id string, budget time.Duration, body []byte) answer {
+	k.m.f.rec.log("client at %s sends %s: %s %s, %d bytes, budget %v", k.m.name, id, method, target, len(body), budget)
+	a := k.exchange(method, target, id, budget, body)
+	k.m.f.rec.log("client at %s gets for %s: %s", k.m.name, id, a)
+	return a
+}
+
+func (k *client) exchange(method, target, id string, budget time.Duration, body []byte) answer {
 	end := time.Now().Add(budget)
 	_ = k.c.SetDeadline(end)
 	head := fmt.Sprintf("%s %s HTTP/1.1\r\nHost: %s\r\nX-Attempt-Id: %s\r\nX-Deadline-Ms: %d\r\n", method, target, host, id, budget.Milliseconds())
@@ -85,8 +95,8 @@
 func (k *client) close() { _ = k.c.Close() }
 
 // once sends one request on a new connection.
-func once(address, method, target, id string, budget time.Duration, body []byte) answer {
-	k, err := dial(address)
+func once(m *machine, method, target, id string, budget time.Duration, body []byte) answer {
+	k, err := dial(m)
 	if err != nil {
 		return answer{err: err}
 	}
--- a/review/stand/fleet.go
+++ b/review/stand/fleet.go
@@ -51,6 +51,8 @@
 	storeAt  string
 	base     int // First port; ports are the same on all machines.
 	machines []*machine
+	// perZone is the number of machines of a zone.
+	perZone int
 	// files is the limit of descriptors of a node, 0 for that of the machine.
 	files int
 	rec   *recorder
@@ -75,7 +77,7 @@
 	if err != nil {
 		return nil, err
 	}
-	f := &fleet{dir: dir, store: newStore(), rec: rec, base: 20000 + 10*rand.IntN(1000)}
+	f := &fleet{dir: dir, store: newStore(), rec: rec, perZone: 1, base: 20000 + 10*rand.IntN(1000)}
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
@@ -93,12 +95,16 @@
 // add adds a machine with an upstream of a service, and registers the upstream.
 func (f *fleet) add(service string, slots int, work func(*http.Request) time.Duration) (*machine, error) {
 	n := len(f.machines)
+	zone := zones[n/f.perZone%len(zones)]
 	m := &machine{
-		name: fmt.Sprintf("sidecar-%s-%d", zones[n%len(zones)], n), ip: fmt.Sprintf("%s.%d", network, n+10),
-		zone: zones[n%len(zones)], service: service, f: f, born: time.Now().UnixMilli(),
+		name: fmt.Sprintf("sidecar-%s-%d", zone, n), ip: fmt.Sprintf("%s.%d", network, n+10),
+		zone: zone, service: service, f: f, born: time.Now().UnixMilli(),
 	}
 	m.up = &upstream{
-		id: fmt.Sprintf("i-%08x", rand.Uint32()), service: service, address: m.at(portApp), slots: slots, work: work,
+		id: fmt.Sprintf("i-%08x", rand.Uint32()), service: service, address: m.at(portApp), slots: slots, work: work, rec: f.rec,
+	}
+	if err := m.checkPorts(); err != nil {
+		return nil, err
 	}
 	if err := m.up.start(); err != nil {
 		return nil, err
@@ -108,6 +114,25 @@
 	return m, nil
 }
 
+// portMetrics is the port of a node's metrics, as in the template of the settings.
+const portMetrics = 9464
+
+// checkPorts returns an error unless all ports of the machine are free.
+func (m *machine) checkPorts() error {
+	addresses := []string{net.JoinHostPort(m.ip, fmt.Sprint(portMetrics))}
+	for _, port := range []int{portLink, portInbound, portApp, portReady, portOutbound} {
+		addresses = append(addresses, m.at(port))
+	}
+	for _, a := range addresses {
+		l, err := net.Listen("tcp", a)
+		if err != nil {
+			return fmt.Errorf("port not free: %w", err)
+		}
+		_ = l.Close()
+	}
+	return nil
+}
+
 func (m *machine) at(port int) string { return net.JoinHostPort(m.ip, fmt.Sprint(m.f.port(port))) }
 
 // entry returns what the upstream reports with a sequence number.
--- a/review/stand/path.go
+++ b/review/stand/path.go
@@ -35,8 +35,7 @@
 		id := newID()
 		sent[id] = target
 		m := f.machines[i%2]
-		a := once(m.at(portOutbound), http.MethodGet, target, id, 5*time.Second, nil)
-		rec.log("client at %s: %s GET %s: %s", m.name, id, target, a)
+		once(m, http.MethodGet, target, id, 5*time.Second, nil)
 	}
 	changed := 0
 	for _, m := range f.machines {
--- a/review/stand/restart.go
+++ b/review/stand/restart.go
@@ -15,13 +15,16 @@
 func init() { scenarios["restart"] = restartCase }
 
 const (
-	// slowReaders is the number of clients with a long answer.
-	slowReaders = 40
+	// Clients of three machines of one zone send book-close at the rate of zone waw-a of
+	// kwit-mesh, 157 a second of which 2.3 of 9.12 are book-close, on 4 machines, for
+	// askTime. The node stops at the end of that time.
+	askInterval = time.Second * 4 * 912 / (157 * 230)
+	askTime     = 1600 * time.Millisecond
 	// longAnswer is the size of their answers.
 	longAnswer = 500 << 10
 	// A client reads firstPart bytes, nothing for readPause, and then the rest.
 	firstPart = 16 << 10
-	readPause = 3300 * time.Millisecond
+	readPause = 4500 * time.Millisecond
 	// segmentBytes is the largest segment of a client outside the machine.
 	segmentBytes = 1400
 	// receiveBuffer is the socket buffer of a client.
@@ -32,7 +35,7 @@
 
 // dialSmall connects with the segment size and the receive buffer of a client on
 // another machine.
-func dialSmall(address string) (*client, error) {
+func dialSmall(m *machine) (*client, error) {
 	d := net.Dialer{Timeout: connectTimeout, Control: func(_, _ string, c syscall.RawConn) error {
 		var failed error
 		err := c.Control(func(fd uintptr) {
@@ -46,11 +49,11 @@
 		}
 		return failed
 	}}
-	c, err := d.Dial("tcp", address)
+	c, err := d.Dial("tcp", m.at(portOutbound))
 	if err != nil {
 		return nil, err
 	}
-	return &client{c: c, r: bufio.NewReaderSize(c, 4<<10)}, nil
+	return &client{c: c, r: bufio.NewReaderSize(c, 4<<10), m: m}, nil
 }
 
 // readSlowly reads an answer with a pause after its first part.
@@ -74,14 +77,7 @@
 	return a
 }
 
-// longResult is what one client got for its long answer.
-type longResult struct {
-	id   string
-	took time.Duration
-	answer
-}
-
-// restartCase restarts one node as planned while clients of another node read long
+// restartCase restarts one node as planned while clients of other nodes read long
 // answers slowly, all within their time budget. The upstream goes on running.
 func restartCase(rec *recorder, trouble bool) (verdict, error) {
 	f, err := newFleet(rec)
@@ -89,17 +85,15 @@
 		return verdict{}, err
 	}
 	defer f.close()
+	f.perZone = 4
 	work := func(*http.Request) time.Duration { return 120 * time.Millisecond }
-	for _, s := range []string{"ksiegi", "ksiegi", "archiwum", "archiwum"} {
-		m, err := f.add(s, 183, work)
-		if err != nil {
-			return verdict{}, err
-		}
-		m.up.reply = func(r *http.Request) int {
-			if r.URL.Path == longPath {
-				return longAnswer
+	for range 2 {
+		for _, s := range []string{"ksiegi", "archiwum", "skany", "numerator"} {
+			m, err := f.add(s, 183, work)
+			if err != nil {
+				return verdict{}, err
 			}
-			return 1500
+			m.up.reply = longReply
 		}
 	}
 	f.publish(7, []route{{"book-close", "/ksiegi/", "unsafe", "ksiegi", budget, 1500 * time.Millisecond, 2}}, maxBodyBytes)
@@ -119,12 +113,12 @@
 	}
 	lost, late := 0, 0
 	for _, r := range results {
-		rec.log("%s after %.2f s: %s; run by %s", r.id, r.took.Seconds(), r.answer, ranAt[r.id])
+		rec.log("client at %s gets for %s after %.2f s: %s; run by %s", r.client, r.id, r.took.Seconds(), r.answer, ranAt[r.id])
 		switch {
 		case r.err == nil && r.body == longAnswer:
 		case r.took >= budget-100*time.Millisecond:
 			late++
-		case ranAt[r.id] != "":
+		case r.err != nil && ranAt[r.id] != "":
 			lost++
 		}
 	}
@@ -132,46 +126,57 @@
 		lost, len(results), late)}, nil
 }
 
+// longResult is what one client got for its long answer.
+type longResult struct {
+	client, id string
+	took       time.Duration
+	answer
+}
+
 // longPath is the path of the requests with a long answer.
 const longPath = "/ksiegi/long"
 
-// restartUnderReaders lets the clients of the last machine ask for long answers and restarts
-// the node of the first one meanwhile.
+func longReply(r *http.Request) int {
+	if r.URL.Path == longPath {
+		return longAnswer
+	}
+	return 1500
+}
+
+// restartUnderReaders lets clients of the first zone ask for long answers and then
+// restarts the node beside that zone's upstream.
 func (f *fleet) restartUnderReaders(trouble bool) ([]longResult, error) {
-	entry, restarted := f.machines[len(f.machines)-1], f.machines[0]
+	restarted, others := f.machines[0], f.machines[1:f.perZone]
 	var mu sync.Mutex
 	var results []longResult
 	var wg sync.WaitGroup
-	for range slowReaders {
-		k, err := dialSmall(entry.at(portOutbound))
-		if err != nil {
-			return nil, err
-		}
-		defer k.close()
+	for end, n := time.Now().Add(askTime), 0; time.Now().Before(end); n++ {
+		m := others[n%len(others)]
 		wg.Add(1)
 		go func() {
 			defer wg.Done()
+			k, err := dialSmall(m)
+			if err != nil {
+				f.rec.log("client at %s: no connection: %v", m.name, err)
+				return
+			}
+			defer k.close()
 			// The connection is a kept one: it has carried a request before.
-			if first := k.do(http.MethodPost, "/ksiegi/short", newID(), budget, make([]byte, 4000)); first.err != nil {
-				f.rec.log("first request on a connection: %s", first)
+			if first := k.do(http.MethodPost, "/ksiegi/short", newID(), budget, make([]byte, 4000)); first.status != http.StatusOK {
 				return
 			}
-			got := k.askLong(f.rec, entry)
+			got := k.askLong()
 			mu.Lock()
 			defer mu.Unlock()
 			results = append(results, got)
 		}()
+		// Each client sends two requests, and a quarter of the zone's clients, those of
+		// the machine that stops, are left out.
+		time.Sleep(2 * askInterval / time.Duration(len(others)))
 	}
 	time.Sleep(300 * time.Millisecond)
 	if trouble {
-		restarted.signal(syscall.SIGTERM)
-		select {
-		case <-restarted.ended:
-		case <-time.After(6 * time.Second): // grace
-			restarted.signal(syscall.SIGKILL)
-			<-restarted.ended
-		}
-		if err := restarted.start(); err != nil {
+		if err := restarted.restart(); err != nil {
 			return nil, err
 		}
 	}
@@ -179,16 +184,31 @@
 	return results, nil
 }
 
+// grace is the bound of the same name.
+const grace = 6 * time.Second
+
+// restart stops the node as the platform does, and starts it again.
+func (m *machine) restart() error {
+	m.signal(syscall.SIGTERM)
+	select {
+	case <-m.ended:
+	case <-time.After(grace):
+		m.signal(syscall.SIGKILL)
+		<-m.ended
+	}
+	return m.start()
+}
+
 // askLong sends an unsafe request and reads its long answer slowly.
-func (k *client) askLong(rec *recorder, entry *machine) longResult {
+func (k *client) askLong() longResult {
 	id, start := newID(), time.Now()
 	_ = k.c.SetDeadline(start.Add(budget))
-	rec.log("client at %s: %s POST %s on a kept connection", entry.name, id, longPath)
+	k.m.f.rec.log("client at %s sends %s: POST %s on a kept connection, budget %v", k.m.name, id, longPath, budget)
 	head := fmt.Sprintf("POST %s HTTP/1.1\r\nHost: %s\r\nX-Attempt-Id: %s\r\nX-Deadline-Ms: %d\r\nContent-Length: 4000\r\n\r\n%s",
 		longPath, host, id, budget.Milliseconds(), strings.Repeat("b", 4000))
 	a := answer{}
 	if _, a.err = io.WriteString(k.c, head); a.err == nil {
 		a = k.readSlowly(http.MethodPost)
 	}
-	return longResult{id, time.Since(start), a}
+	return longResult{k.m.name, id, time.Since(start), a}
 }
--- a/review/stand/upstream.go
+++ b/review/stand/upstream.go
@@ -22,6 +22,7 @@
 type upstream struct {
 	id, service, address string
 	slots                int
+	rec                  *recorder
 	// work is how long a run takes. reply is the size of the body of an answer.
 	work func(r *http.Request) time.Duration
 	// readRate is the number of bytes of a request body that the upstream reads a
@@ -100,11 +101,13 @@
 		return false
 	}
 	if want := req.Header.Get("X-Target-Instance"); want != "" && want != u.id {
+		u.rec.log("upstream %s refuses %s with 421", u.id, id)
 		return u.write(c, fmt.Sprintf("HTTP/1.1 421 Misdirected Request\r\nX-Attempt-Id: %s\r\nX-Instance-Id: %s\r\nContent-Length: 0\r\n\r\n", id, u.id))
 	}
 	u.mu.Lock()
 	if u.busy >= u.slots {
 		u.mu.Unlock()
+		u.rec.log("upstream %s refuses %s: full", u.id, id)
 		return u.write(c, fmt.Sprintf("HTTP/1.1 503 Service Unavailable\r\nX-Attempt-Id: %s\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n", id))
 	}
 	u.busy++
@@ -113,6 +116,7 @@
 		Caller: req.Header.Get("X-Caller-Service"), BodyBytes: int(n), At: time.Now(),
 	})
 	u.mu.Unlock()
+	u.rec.log("upstream %s runs %s: %s %s, %d bytes, caller %s", u.id, id, req.Method, req.RequestURI, n, req.Header.Get("X-Caller-Service"))
 	time.Sleep(u.work(req))
 	u.mu.Lock()
 	u.busy--
