--- a/review/stand/mem.go
+++ b/review/stand/mem.go
@@ -14,20 +14,26 @@
 
 func init() { scenarios["memory"] = memoryCase }
 
+// The traffic is that of the sheet of nguyenthanh-mesh on its 16 machines.
 const (
 	// memoryLimit is memoryMb of the settings page; a process that exceeds it is
 	// killed.
 	memoryLimit = 284 << 20
-	// uploadBytes is the size of an upload. The configuration allows 64 MiB.
-	uploadBytes = 12 << 20
-	// uploadsPerSecond is the rate of scan-upload on the sheet of kwit-mesh.
-	uploadsPerSecond = 32.6
-	maxBodyBytes     = 67108864
-	// uploadBudget is the time budget of scan-upload on the same sheet.
-	uploadBudget = 1500 * time.Millisecond
-	// keptPerMachine is the number of clients with a kept connection on a machine.
-	keptPerMachine = 8
-	uploadInterval = 30675 * time.Microsecond
+	// restartDelay is the time after which the platform starts a killed node again.
+	restartDelay = time.Second
+	maxBodyBytes = 67108864
+	// uploadBytes is the size of an upload. The configuration allows maxBodyBytes.
+	uploadBytes = 15 << 20
+	// uploadInterval is the time between two photo-uploads, 28.2 a second.
+	uploadInterval = time.Second * 10 / 282
+	uploadBudget   = 2500 * time.Millisecond
+	uploadTime     = 12 * time.Second
+	// slowRead is how many bytes of a body a slow upstream reads a second.
+	slowRead = 4 << 20
+	// certInterval is the time between two cert-issues of one machine, 116 a second on
+	// all of them.
+	certInterval = time.Second * 16 / 116
+	certBudget   = 6 * time.Second
 )
 
 // residentBytes returns the resident memory of a process.
@@ -44,176 +50,215 @@
 	return pages * int64(os.Getpagesize())
 }
 
-// restartDelay is the time after which the platform starts a killed node again.
-const restartDelay = time.Second
+// memoryGuard does what the platform does: it kills a node whose resident memory
+// exceeds the limit, and starts it again.
+type memoryGuard struct {
+	f            *fleet
+	stop         chan struct{}
+	killed, peak atomic.Int64
+}
 
-// enforceMemory does what the platform does: it kills a node whose resident memory
-// exceeds the limit, and starts it again. It returns when stop is closed.
-func (f *fleet) enforceMemory(stop <-chan struct{}, killed *atomic.Int64, peak *atomic.Int64) {
+// run guards the nodes until stop is closed.
+func (g *memoryGuard) run() {
 	for {
 		select {
-		case <-stop:
+		case <-g.stop:
 			return
 		case <-time.After(10 * time.Millisecond):
 		}
-		for _, m := range f.machines {
-			m.mu.Lock()
-			pid, ended := m.cmd.Process.Pid, m.ended
-			m.mu.Unlock()
-			select {
-			case <-ended:
-				continue
-			default:
-			}
-			n := residentBytes(pid)
-			if n > peak.Load() {
-				peak.Store(n)
-			}
-			if n > memoryLimit {
-				f.rec.log("%s: node holds %d MiB, over its limit of %d MiB", m.name, n>>20, memoryLimit>>20)
-				killed.Add(1)
-				m.signal(syscall.SIGKILL)
-				<-ended
-				time.AfterFunc(restartDelay, func() { m.restartUnless(stop) })
-			}
+		for _, m := range g.f.machines {
+			g.check(m)
 		}
 	}
 }
 
-// restartUnless starts the node again unless stop is closed.
-func (m *machine) restartUnless(stop <-chan struct{}) {
+func (g *memoryGuard) check(m *machine) {
+	m.mu.Lock()
+	pid, ended := m.cmd.Process.Pid, m.ended
+	m.mu.Unlock()
 	select {
-	case <-stop:
+	case <-ended:
+		return
+	default:
+	}
+	n := residentBytes(pid)
+	g.peak.Store(max(n, g.peak.Load()))
+	if n <= memoryLimit {
+		return
+	}
+	g.f.rec.log("%s: node holds %d MiB, over its limit of %d MiB", m.name, n>>20, memoryLimit>>20)
+	g.killed.Add(1)
+	m.signal(syscall.SIGKILL)
+	<-ended
+	time.AfterFunc(restartDelay, func() { g.restart(m) })
+}
+
+func (g *memoryGuard) restart(m *machine) {
+	select {
+	case <-g.stop:
 		return
 	default:
 	}
 	if err := m.start(); err != nil {
-		m.f.rec.log("%s: restart: %v", m.name, err)
+		g.f.rec.log("%s: restart: %v", m.name, err)
+	}
+}
+
+// cutRequests holds the requests on kept connections whose connection ended without an
+// answer, by id.
+type cutRequests struct {
+	mu  sync.Mutex
+	ids map[string]bool
+}
+
+// note notes a request unless it was answered or its time budget was nearly over.
+func (c *cutRequests) note(id string, a answer, took, budget time.Duration) {
+	if a.err == nil || took >= budget-100*time.Millisecond {
+		return
 	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.ids[id] = true
 }
 
-// memoryCase uploads bodies at the rate of the sheet while the upstreams of the
-// upload service read slowly. Other clients send requests on kept connections; each
-// that an upstream has run must be answered.
+// memoryCase uploads bodies at the rate of the sheet while the upstreams of the upload
+// service read slowly. All requests are sent on kept connections; those that were
+// passed on to an upstream must be answered.
 func memoryCase(rec *recorder, trouble bool) (verdict, error) {
 	f, err := newFleet(rec)
 	if err != nil {
 		return verdict{}, err
 	}
 	defer f.close()
-	work := func(*http.Request) time.Duration { return 120 * time.Millisecond }
-	for _, s := range []string{"skany", "ksiegi", "ksiegi", "ksiegi", "ksiegi", "ksiegi", "ksiegi", "skany"} {
-		m, err := f.add(s, 183, work)
-		if err != nil {
-			return verdict{}, err
-		}
-		if s == "skany" && trouble {
-			m.up.readRate = 4 << 20
+	work := func(*http.Request) time.Duration { return 200 * time.Millisecond }
+	for _, s := range []string{"reports", "certs", "photos", "repairs"} {
+		for range zones {
+			m, err := f.add(s, 135, work)
+			if err != nil {
+				return verdict{}, err
+			}
+			if s == "photos" && trouble {
+				m.up.readRate = slowRead
+			}
 		}
 	}
 	f.publish(7, []route{
-		{"scan-upload", "/skany/", "upload", "skany", uploadBudget, 400 * time.Millisecond, 1},
-		{"book-close", "/ksiegi/", "unsafe", "ksiegi", 5 * time.Second, 1500 * time.Millisecond, 2},
+		{"report-lookup", "/reports/", "safe", "reports", certBudget, 1500 * time.Millisecond, 2},
+		{"photo-upload", "/photos/", "upload", "photos", uploadBudget, 600 * time.Millisecond, 1},
+		{"cert-issue", "/certs/", "unsafe", "certs", certBudget, 2 * time.Second, 2},
 	}, maxBodyBytes)
 	if err := f.startAll(); err != nil {
 		return verdict{}, err
 	}
-	stop := make(chan struct{})
-	var killed, peak atomic.Int64
-	go f.enforceMemory(stop, &killed, &peak)
-
-	var wg sync.WaitGroup
-	var mu sync.Mutex
-	cut := map[string]string{} // Requests on kept connections that ended without an answer.
+	g := &memoryGuard{f: f, stop: make(chan struct{})}
+	go g.run()
+	cut := &cutRequests{ids: make(map[string]bool)}
+	var clients sync.WaitGroup
 	done := make(chan struct{})
 	for _, m := range f.machines {
-		for range keptPerMachine {
-			wg.Add(1)
-			go func() {
-				defer wg.Done()
-				keptClient(m, done, func(id string, a answer) {
-					mu.Lock()
-					defer mu.Unlock()
-					cut[id] = fmt.Sprintf("client at %s: %s POST /ksiegi/close on a kept connection: %s", m.name, id, a)
-				})
-			}()
-		}
+		clients.Add(1)
+		go func() {
+			defer clients.Done()
+			m.issueCerts(done, cut)
+		}()
 	}
-	time.Sleep(4 * time.Second)
-	rec.log("uploads of %d bytes begin, %.1f a second; upstreams read slowly: %t", uploadBytes, uploadsPerSecond, trouble)
+	time.Sleep(4 * time.Second) // All machines are in touch.
+	rec.log("uploads begin; upstreams read slowly: %t", trouble)
 	body := make([]byte, uploadBytes)
-	for i := range int(uploadsPerSecond * 10) {
-		m := f.machines[i%len(f.machines)]
-		wg.Add(1)
+	for end, n := time.Now().Add(uploadTime), 0; time.Now().Before(end); n++ {
+		m := f.machines[n%len(f.machines)]
+		clients.Add(1)
 		go func() {
-			defer wg.Done()
-			k, err := dial(m.at(portOutbound))
-			if err != nil {
-				rec.log("client at %s: upload %d: %v", m.name, i, err)
-				return
-			}
-			defer k.close()
-			// The connection is a kept one: it has carried a request before.
-			if first := k.do(http.MethodPost, "/ksiegi/close", newID(), 5*time.Second, body[:4000]); first.err != nil {
-				return
-			}
-			id, start := newID(), time.Now()
-			a := k.do(http.MethodPost, fmt.Sprintf("/skany/%d", i), id, uploadBudget, body)
-			rec.log("client at %s: %s POST /skany/%d on a kept connection, %.3f s: %s", m.name, id, i, time.Since(start).Seconds(), a)
-			if a.err != nil && time.Since(start) < uploadBudget-100*time.Millisecond {
-				mu.Lock()
-				defer mu.Unlock()
-				cut[id] = fmt.Sprintf("client at %s: %s POST /skany/%d on a kept connection: %s", m.name, id, i, a)
-			}
+			defer clients.Done()
+			m.upload(body, cut)
 		}()
 		time.Sleep(uploadInterval)
 	}
-	time.Sleep(2 * time.Second)
+	time.Sleep(uploadBudget)
 	close(done)
-	wg.Wait()
-	close(stop)
+	clients.Wait()
+	close(g.stop)
 	lost := 0
 	for _, m := range f.machines {
 		for _, id := range m.up.seen() {
-			if line, ok := cut[id]; ok {
-				rec.log("%s; it had been passed on to upstream %s", line, m.up.id)
+			if cut.ids[id] {
+				rec.log("%s had been passed on to upstream %s and got no answer", id, m.up.id)
 				lost++
 			}
 		}
 	}
 	return verdict{lost > 3, fmt.Sprintf("nodes over their memory limit: %d times (peak %d MiB); %d requests from kept connections had been passed on to a sound upstream and their connection was closed without an answer",
-		killed.Load(), peak.Load()>>20, lost)}, nil
+		g.killed.Load(), g.peak.Load()>>20, lost)}, nil
 }
 
-// keptClient sends requests one after the other on one kept connection until done is
-// closed. It reports those that ended without an answer and opens another connection
-// after them.
-func keptClient(m *machine, done <-chan struct{}, ended func(id string, a answer)) {
-	var k *client
-	body := make([]byte, 4000)
-	for n := 0; ; n++ {
+// issueCerts sends cert-issues from a machine at the rate of the sheet, each on a
+// connection that has carried one before, until done is closed.
+func (m *machine) issueCerts(done <-chan struct{}, cut *cutRequests) {
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	var mu sync.Mutex
+	var idle []*client
+	take := func() *client {
+		mu.Lock()
+		defer mu.Unlock()
+		if len(idle) == 0 {
+			return nil
+		}
+		k := idle[len(idle)-1]
+		idle = idle[:len(idle)-1]
+		return k
+	}
+	defer func() {
+		for k := take(); k != nil; k = take() {
+			k.close()
+		}
+	}()
+	for {
 		select {
 		case <-done:
 			return
-		default:
+		case <-time.After(certInterval):
 		}
-		if k == nil {
-			var err error
-			if k, err = dial(m.at(portOutbound)); err != nil {
-				time.Sleep(200 * time.Millisecond)
-				continue
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			k := take()
+			kept := k != nil
+			if !kept {
+				var err error
+				if k, err = dial(m); err != nil {
+					return
+				}
 			}
-			n = 0
-		}
-		id := newID()
-		a := k.do(http.MethodPost, "/ksiegi/close", id, 5*time.Second, body)
-		if a.err != nil {
-			if n > 0 {
-				ended(id, a)
+			id, start := newID(), time.Now()
+			a := k.do(http.MethodPost, "/certs/"+id, id, certBudget, make([]byte, 1200))
+			if a.err != nil {
+				if kept {
+					cut.note(id, a, time.Since(start), certBudget)
+				}
+				k.close()
+				return
 			}
-			k.close()
-			k = nil
-		}
-		time.Sleep(50 * time.Millisecond)
+			mu.Lock()
+			defer mu.Unlock()
+			idle = append(idle, k)
+		}()
+	}
+}
+
+// upload sends one photo-upload on a connection that has carried a request before.
+func (m *machine) upload(body []byte, cut *cutRequests) {
+	k, err := dial(m)
+	if err != nil {
+		return
+	}
+	defer k.close()
+	// A report-lookup before it makes the connection a kept one.
+	first := newID()
+	if a := k.do(http.MethodGet, "/reports/"+first, first, certBudget, nil); a.err != nil {
+		return
 	}
+	id, start := newID(), time.Now()
+	a := k.do(http.MethodPost, "/photos/"+id, id, uploadBudget, body)
+	cut.note(id, a, time.Since(start), uploadBudget)
 }
