--- a/review/stand/descriptors.go
+++ b/review/stand/descriptors.go
@@ -24,7 +24,7 @@
 	burstFactor    = 1.7
 	burstTime      = 20 * time.Second
 	// fillTime bounds the time in which users come.
-	fillTime = 108 * time.Second
+	fillTime = 106 * time.Second
 	// contact is the bound of the same name.
 	contact = 3 * time.Second
 	// triers is the number of clients that try in vain until the rule is broken.
@@ -103,17 +103,19 @@
 	readyNow, unready := true, 0
 	checks := time.NewTicker(time.Second)
 	defer checks.Stop()
+	next := start // When the next user comes.
 	for n := 0; time.Since(start) < fillTime && broken == ""; n++ {
 		rate := usersPerSecond
-		if time.Since(start) < burstTime {
+		if next.Sub(start) < burstTime {
 			rate *= burstFactor
 		}
+		next = next.Add(time.Duration(float64(time.Second) / rate))
 		wg.Add(1)
 		go func() {
 			defer wg.Done()
 			user(n)
 		}()
-		time.Sleep(time.Duration(float64(time.Second) / rate))
+		time.Sleep(time.Until(next))
 		select {
 		case <-checks.C:
 			readyNow = ready.check()
