--- a/review/stand/born.go
+++ b/review/stand/born.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"net/http"
 	"sync"
 	"time"
@@ -68,7 +69,7 @@
 				select {
 				case <-done:
 					return
-				case <-time.After(100 * time.Millisecond):
+				case <-time.After(time.Duration(50+rand.IntN(100)) * time.Millisecond):
 				}
 				if k == nil {
 					if k, err = dial(m); err != nil {
--- a/review/stand/descriptors.go
+++ b/review/stand/descriptors.go
@@ -24,7 +24,7 @@
 	burstFactor    = 1.7
 	burstTime      = 20 * time.Second
 	// fillTime bounds the time in which users come.
-	fillTime = 106 * time.Second
+	fillTime = 109 * time.Second
 	// contact is the bound of the same name.
 	contact = 3 * time.Second
 	// triers is the number of clients that try in vain until the rule is broken.
@@ -70,12 +70,12 @@
 			k.close()
 		}
 	}()
-	// failing holds the clients in a row, by time, that got no answer on a new
-	// connection while the node said that it is ready.
+	// failing holds when the clients came that got no answer on a new connection, since
+	// the last one that got one.
 	var failing []time.Time
 	broken := ""
 	user := func(n int) {
-		id := newID()
+		id, started := newID(), time.Now()
 		k, err := dial(m)
 		a := answer{err: err}
 		if err == nil {
@@ -95,7 +95,7 @@
 		if k != nil {
 			k.close()
 		}
-		failing = append(failing, time.Now())
+		failing = append(failing, started)
 	}
 	var wg sync.WaitGroup
 	start := time.Now()
