--- a/review/stand-2/app.go
+++ b/review/stand-2/app.go
@@ -18,8 +18,8 @@
 	// work is how long a request takes, answer the length of the answer.
 	work   func() time.Duration
 	answer int
-	// read, if set, reads the body of a request in place of the default, at once.
-	read func(r *http.Request) (int64, error)
+	// truncates, if set, reports whether the next answer is broken off.
+	truncates func() bool
 
 	node  *node
 	log   *record
@@ -28,6 +28,9 @@
 
 	mu   sync.Mutex
 	seen map[string]int
+	// server is the running server; nil while the process is down.
+	server *http.Server
+	born   time.Time
 }
 
 var filler = make([]byte, 4<<20)
@@ -43,12 +46,35 @@
 	if err != nil {
 		return err
 	}
-	a.seen = make(map[string]int)
 	s := &http.Server{Handler: a, IdleTimeout: 10 * time.Second}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.seen == nil {
+		a.seen = make(map[string]int)
+	}
+	a.server, a.born = s, time.Now()
 	go func() { _ = s.Serve(ln) }()
 	return nil
 }
 
+// crash ends the process: its listener and all connections are closed at once.
+func (a *app) crash() {
+	a.mu.Lock()
+	s := a.server
+	a.server = nil
+	a.mu.Unlock()
+	_ = s.Close()
+}
+
+func (a *app) started() time.Time {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.born
+}
+
+// age returns how long ago the process was started.
+func (a *app) age() time.Duration { return time.Since(a.started()) }
+
 // ServeHTTP implements http.Handler.
 func (a *app) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	if r.URL.Path == "/health" {
@@ -74,11 +100,7 @@
 	a.mu.Lock()
 	a.seen[id]++
 	a.mu.Unlock()
-	read := func(r *http.Request) (int64, error) { return io.Copy(io.Discard, r.Body) }
-	if a.read != nil {
-		read = a.read
-	}
-	n, err := read(r)
+	n, err := io.Copy(io.Discard, r.Body)
 	if err != nil {
 		a.log.add("%s: %s broke off after %d bytes of the body", a.instance, id, n)
 		return
@@ -90,6 +112,12 @@
 	}
 	w.Header().Set("X-Response-Stamp", "stamp."+a.instance+"."+id)
 	w.Header().Set("Content-Length", strconv.Itoa(a.answer))
+	if a.truncates != nil && a.truncates() {
+		a.log.add("%s: breaks off its answer to %s", a.instance, id)
+		_, _ = w.Write(filler[:a.answer*9/10])
+		_ = http.NewResponseController(w).Flush()
+		panic(http.ErrAbortHandler)
+	}
 	_, _ = w.Write(filler[:a.answer])
 }
 
--- a/review/stand-2/cluster.go
+++ b/review/stand-2/cluster.go
@@ -216,7 +216,7 @@
 
 func (n *node) entry(state string, seq int) map[string]any {
 	return map[string]any{
-		"address": n.appAddress(), "born": time.Now().Add(-time.Minute).UnixMilli(),
+		"address": n.appAddress(), "born": n.app.started().UnixMilli(),
 		"info":   map[string]any{"service": n.service, "version": "v1", "zone": n.zone, "slots": n.app.slots},
 		"status": map[string]any{"state": state, "seq": seq, "warmupLeft": "0ms"},
 	}
--- a/review/stand-2/main.go
+++ b/review/stand-2/main.go
@@ -22,7 +22,7 @@
 }
 
 func run(name, program, recordFile string) int {
-	cases := map[string]func(*cluster, bool) (bool, error){"uploads": uploads, "roll": roll, "foreign": foreignEntry}
+	cases := map[string]func(*cluster, bool) (bool, error){"uploads": uploads, "roll": roll, "today": today, "ahead": ahead, "foreign": foreignEntry}
 	log, err := newRecord(recordFile)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
--- a/review/stand-2/record.go
+++ b/review/stand-2/record.go
@@ -27,7 +27,7 @@
 func (r *record) add(format string, args ...any) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	fmt.Fprintf(r.w, "%8.3f "+format+"\n", append([]any{time.Since(r.began).Seconds()}, args...)...)
+	_, _ = fmt.Fprintf(r.w, "%8.3f "+format+"\n", append([]any{time.Since(r.began).Seconds()}, args...)...)
 }
 
 // say adds a line and prints it.
--- a/review/stand-2/store.go
+++ b/review/stand-2/store.go
@@ -65,17 +65,6 @@
 	s.publish(it)
 }
 
-func (s *store) remove(key string) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if _, ok := s.items[key]; !ok {
-		return
-	}
-	s.revision++
-	delete(s.items, key)
-	s.publish(item{Key: key, Revision: s.revision, Removed: true})
-}
-
 func (s *store) publish(it item) {
 	s.events = append(s.events, it)
 	close(s.changed)
