--- a/review/stand-2/today.go
+++ b/review/stand-2/today.go
@@ -13,6 +13,8 @@
 	// time budget of its clients and the route's timeout.
 	todayWork   = 320 * time.Millisecond
 	todayBudget = 600 * time.Millisecond
+	// lookupWork is the time that a request on the first route takes.
+	lookupWork = 50 * time.Millisecond
 	// An upstream that has just started is coldFactor times slower for coldTime.
 	coldFactor = 2
 	coldTime   = 3 * time.Second
@@ -28,10 +30,14 @@
 	for i, s := range []string{"numerator", "numerator", "numerator", "numerator", "archiwum", "archiwum"} {
 		a := &app{instance: fmt.Sprintf("i-%d", i), slots: 25, answer: 1500}
 		a.work = func() time.Duration {
-			if i < 4 && a.age() < coldTime {
+			switch {
+			case s != "numerator":
+				return lookupWork
+			case a.age() < coldTime:
 				return coldFactor * todayWork
+			default:
+				return todayWork
 			}
-			return todayWork
 		}
 		if _, err := c.addNode(s, []string{"waw-a", "krk-a", "gda-a", "waw-b"}[i%4], memoryMB, a); err != nil {
 			return false, err
@@ -53,7 +59,7 @@
 	stop := make(chan struct{})
 	var wg sync.WaitGroup
 	for _, n := range c.nodes {
-		for i := range 4 {
+		for i := range 10 {
 			wg.Add(1)
 			go func() {
 				defer wg.Done()
