--- a/review/stand-2/ahead.go
+++ b/review/stand-2/ahead.go
@@ -88,14 +88,15 @@
 			}
 			if err == nil {
 				answered++
+				c.log.add("%s GET /scan/%s: status %d, whole, ran %d", n.name, id, resp.StatusCode, c.ran(id))
 				continue
 			}
-			c.log.add("%s: answer to %s ended: %v", n.name, id, err)
+			c.log.add("%s GET /scan/%s: no whole answer: %v, ran %d", n.name, id, err, c.ran(id))
 			// The upstreams have time to begin with what was passed on.
 			time.Sleep(300 * time.Millisecond)
 			for _, later := range ids[q+1:] {
 				sound := c.nodes[1].app.ran(later) + c.nodes[2].app.ran(later)
-				c.log.add("%s: no answer to %s, sent %.3f s before, run by sound upstreams %d times", n.name, later, time.Since(sent).Seconds(), sound)
+				c.log.add("%s GET /scan/%s: no answer, sent %.3f s before, run by sound upstreams %d times", n.name, later, time.Since(sent).Seconds(), sound)
 				// The connection is a kept one if it has carried an answer before.
 				if sound > 0 && answered > 0 && time.Since(sent) < 5*time.Second {
 					lost++
--- a/review/stand-2/uploads.go
+++ b/review/stand-2/uploads.go
@@ -113,7 +113,9 @@
 				t.upload(n, id)
 				return
 			}
-			t.add(ask(n, "GET", "/lookup/"+id, id, 5*time.Second, nil))
+			o := ask(n, "GET", "/lookup/"+id, id, 5*time.Second, nil)
+			t.add(o)
+			n.c.log.add("%s GET /lookup/%s: status %d, whole %t, error %v, ran %d", n.name, id, o.status, o.whole, o.err, n.c.ran(id))
 		}()
 		time.Sleep(time.Second / 24)
 	}
@@ -136,13 +138,10 @@
 	return readOutcome(conn, "POST", id, pace{}, uploadBudget+2*time.Second)
 }
 
-// upload sends an upload, and records it unless it was refused.
+// upload sends an upload and records it.
 func (t *tally) upload(n *node, id string) {
 	o := upload(n, id)
 	t.add(o)
-	if o.status == 503 {
-		return
-	}
 	ran := n.c.ran(id)
 	n.c.log.add("%s POST /upload/%s: status %d, whole %t, error %v, ran %d", n.name, id, o.status, o.whole, o.err, ran)
 	if o.status == 0 && ran > 0 {
