--- a/review/stand-2/ahead.go
+++ b/review/stand-2/ahead.go
@@ -17,6 +17,9 @@
 	scanBytes = 400_000
 	// truncatedShare is the share of the answers that the faulty upstream breaks off.
 	truncatedShare = 0.02
+	// The upstream is faulty for faultTime, and again after faultPause.
+	faultTime  = 5 * time.Second
+	faultPause = time.Second
 	// aheadRequests is the number of requests that a client sends at once.
 	aheadRequests = 6
 )
@@ -24,10 +27,13 @@
 // ahead has clients send safe requests ahead while one of three upstreams breaks off
 // some of its answers.
 func ahead(c *cluster, trouble bool) (broken bool, err error) {
+	began := time.Now()
 	for i, s := range []string{"scan-store", "scan-store", "scan-store", "label-svc"} {
 		a := &app{instance: fmt.Sprintf("i-%d", i), slots: 75, work: func() time.Duration { return 100 * time.Millisecond }, answer: scanBytes}
 		if i == 0 && trouble {
-			a.truncates = func() bool { return rand.Float64() < truncatedShare }
+			a.truncates = func() bool {
+				return time.Since(began)%(faultTime+faultPause) < faultTime && rand.Float64() < truncatedShare
+			}
 		}
 		if _, err := c.addNode(s, []string{"waw-a", "krk-a"}[i%2], memoryMB, a); err != nil {
 			return false, err
