exchanger: the client of the backend server moves out of platform

The connections, the pool and the exchange move as they are to core/exchanger; platform keeps the names of headers and what an answer means.

--- a/platform/pool.go
+++ b/core/exchanger/conn.go
@@ -1,4 +1,4 @@
-package platform
+package exchanger
 
 import (
 	"bufio"
@@ -21,9 +21,6 @@
 	// idleMargin is how long before the idle timeout of the backend server a
 	// connection is no longer reused.
 	idleMargin = time.Second
-	// defaultIdleTimeout is how long an idle connection is kept if the backend
-	// server did not state its idle timeout.
-	defaultIdleTimeout = 4 * time.Second
 	// maxIdleConns bounds the number of idle connections.
 	maxIdleConns = 256
 	// pruneInterval is the interval at which idle connections are looked through.
@@ -60,6 +57,9 @@
 // pool keeps idle connections to one address. It is safe for concurrent use.
 type pool struct {
 	address string
+	// idleTime is how long an idle connection is kept if the backend server did not
+	// state its idle timeout.
+	idleTime time.Duration
 
 	mu sync.Mutex
 	// idle holds the idle connections, least recently used first. On each of
@@ -70,7 +70,9 @@
 	pruning bool
 }
 
-func newPool(address string) *pool { return &pool{address: address} }
+func newPool(address string, idleTime time.Duration) *pool {
+	return &pool{address: address, idleTime: idleTime}
+}
 
 // get returns a usable idle connection for a request or opens a new one.
 func (p *pool) get(ctx context.Context, id string) (*conn, error) {
@@ -115,7 +117,7 @@
 // put returns a connection to the pool. serverTimeout is the idle timeout that
 // the backend server stated, or 0.
 func (p *pool) put(c *conn, serverTimeout time.Duration) {
-	keep := defaultIdleTimeout
+	keep := p.idleTime
 	if serverTimeout > 0 {
 		keep = serverTimeout - idleMargin
 	}
--- a/platform/head.go
+++ b/core/exchanger/head.go
@@ -1,4 +1,4 @@
-package platform
+package exchanger
 
 import (
 	"io"
@@ -6,13 +6,13 @@
 	"github.com/cockroachdb/errors"
 )
 
-// maxHeadBytes bounds the bytes read for the head of one response, with what is
+// MaxHeadBytes bounds the bytes read for the head of one response, with what is
 // read ahead of its body. net/http sets no bound of its own.
-const maxHeadBytes = 64 << 10
+const MaxHeadBytes = 64 << 10
 
 // errHeadTooLarge means that a response has no end of its head within
-// maxHeadBytes.
-var errHeadTooLarge = errors.Newf("head of the response is longer than %d bytes", maxHeadBytes)
+// MaxHeadBytes.
+var errHeadTooLarge = errors.Newf("head of the response is longer than %d bytes", MaxHeadBytes)
 
 // headLimiter passes bytes on and fails when a head gets too long. It is not safe
 // for concurrent use.
@@ -24,7 +24,7 @@
 }
 
 // beginHead starts to count the bytes of a head.
-func (l *headLimiter) beginHead() { l.left, l.inHead = maxHeadBytes, true }
+func (l *headLimiter) beginHead() { l.left, l.inHead = MaxHeadBytes, true }
 
 // endHead lifts the limit for the body.
 func (l *headLimiter) endHead() { l.inHead = false }
--- /dev/null
+++ b/core/exchanger/response.go
@@ -0,0 +1,143 @@
+package exchanger
+
+import (
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+const (
+	// maxSkippedResponses bounds the number of responses to earlier requests
+	// that are skipped.
+	maxSkippedResponses = 4
+	// maxDiscardBytes bounds the bytes of a response body that are read and
+	// discarded.
+	maxDiscardBytes = 1 << 20
+	// drainTime bounds how long the rest of a response that is not needed is read.
+	drainTime = 20 * time.Millisecond
+	// writeGrace bounds how long the rest of a request may take to be written
+	// after its response has been read. Past it, the connection is closed.
+	writeGrace = time.Second
+)
+
+// response reads the response to the request and skips interim responses and responses
+// to earlier requests.
+func (x *exchange) response(r Request) (*http.Response, error) {
+	req := &http.Request{Method: r.Method} // The method decides whether a body follows.
+	for range maxSkippedResponses {
+		x.conn.head.beginHead()
+		resp, err := http.ReadResponse(x.conn.r, req)
+		x.conn.head.endHead()
+		if err != nil {
+			return nil, errors.Wrap(err, "read response")
+		}
+		if resp.StatusCode >= http.StatusOK {
+			switch r.Match(resp.Header, x.fresh) {
+			case MatchYes:
+				return resp, nil
+			case MatchUnclear:
+				return nil, errors.New("response that may belong to an earlier request on the connection")
+			case MatchOther:
+			}
+		}
+		n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxDiscardBytes))
+		if err != nil || n == maxDiscardBytes || resp.Close {
+			return nil, errors.New("connection not usable after a response to another request")
+		}
+	}
+	return nil, errors.New("received only responses to other requests")
+}
+
+// Body is the body of a response. When it has been read to its end, the connection is
+// returned to the pool if it can be reused safely.
+type Body struct {
+	exchange *exchange
+	resp     *http.Response
+	ended    bool
+}
+
+// Read implements io.Reader.
+func (b *Body) Read(p []byte) (int, error) {
+	n, err := b.resp.Body.Read(p)
+	if err == io.EOF {
+		b.end()
+	}
+	return n, err
+}
+
+// end returns the connection to the pool once the request is completely
+// written.
+func (b *Body) end() {
+	if b.ended {
+		return
+	}
+	b.ended = true
+	x := b.exchange
+	if !x.stop() || b.resp.Close {
+		_ = x.conn.Close()
+		return
+	}
+	select {
+	case err := <-x.written:
+		x.release(err, b.resp.Header)
+	default:
+		go x.releaseLater(b.resp.Header)
+	}
+}
+
+func (x *exchange) release(err error, header http.Header) {
+	if err != nil {
+		_ = x.conn.Close()
+		return
+	}
+	x.pool.put(x.conn, idleTimeout(header))
+}
+
+// releaseLater releases the connection of a request that was answered before it
+// was completely written.
+func (x *exchange) releaseLater(header http.Header) {
+	timer := time.NewTimer(writeGrace)
+	defer timer.Stop()
+	select {
+	case err := <-x.written:
+		x.release(err, header)
+	case <-timer.C:
+		_ = x.conn.Close()
+	}
+}
+
+// idleTimeout returns the timeout that a Keep-Alive header states in whole
+// seconds, or 0.
+func idleTimeout(header http.Header) time.Duration {
+	for part := range strings.SplitSeq(header.Get("Keep-Alive"), ",") {
+		if text, ok := strings.CutPrefix(strings.TrimSpace(part), "timeout="); ok {
+			if s, err := strconv.Atoi(text); err == nil {
+				return time.Duration(s) * time.Second
+			}
+		}
+	}
+	return 0
+}
+
+// Close implements io.Closer. It closes the connection if the response was not
+// read to its end.
+func (b *Body) Close() error {
+	if b.ended {
+		return nil
+	}
+	b.ended = true
+	b.exchange.stop()
+	return b.exchange.conn.Close()
+}
+
+// Drain reads a short body to its end, so that the connection can be reused, and closes
+// it. It doesn't wait for a body that is slow to end.
+func (b *Body) Drain() {
+	_ = b.exchange.conn.SetReadDeadline(time.Now().Add(drainTime)) // If this fails, so does the read.
+	_, _ = io.Copy(io.Discard, io.LimitReader(b, maxDiscardBytes))
+	_ = b.Close()
+}
