exchanger: an answer without a length ends only with an orderly end

The client gets the part as a complete answer, with the stamp.

Cause: the kernel reports a reset to one call only. The goroutine that writes the upload takes ECONNRESET; the next read of the response then returns the end of the stream, which ends a body without a length.

Why it works: a connection records the first error of its writes. Before the end of the stream ends a body, the write in progress is ended and looked at: ECONNRESET, or any other error, means that the end of the stream is that of a broken connection. EPIPE does not: the kernel returns it only if the orderly end had come before the reset.

--- a/core/exchanger/conn.go
+++ b/core/exchanger/conn.go
@@ -4,8 +4,10 @@
 	"bufio"
 	"context"
 	"net"
+	"os"
 	"slices"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -40,6 +42,38 @@
 	// usableUntil is the time until which the connection may be reused. It is
 	// set while the connection is idle.
 	usableUntil time.Time
+
+	// writeMu is held during each write. writeErr is the first error of one, or nil.
+	writeMu  sync.Mutex
+	writeErr error
+}
+
+// Write implements io.Writer.
+func (c *conn) Write(b []byte) (int, error) {
+	c.writeMu.Lock()
+	defer c.writeMu.Unlock()
+	n, err := c.Conn.Write(b)
+	if err != nil && c.writeErr == nil {
+		c.writeErr = err
+	}
+	return n, err
+}
+
+// checkEnd returns an error unless the end of the stream, which a read has returned, is
+// the orderly end by the peer. The kernel reports a reset to one caller only: if that is
+// a write, a read returns the end of the stream. The write then fails with ECONNRESET.
+// It fails with EPIPE if the peer had ended its side before the reset. checkEnd ends a
+// write that is waiting; the connection can only be closed afterwards.
+func (c *conn) checkEnd() error {
+	if err := c.SetWriteDeadline(time.Unix(1, 0)); err != nil {
+		return errors.Wrap(err, "end the write")
+	}
+	c.writeMu.Lock()
+	defer c.writeMu.Unlock()
+	if c.writeErr == nil || errors.Is(c.writeErr, os.ErrDeadlineExceeded) || errors.Is(c.writeErr, syscall.EPIPE) {
+		return nil
+	}
+	return errors.Wrap(c.writeErr, "connection broke before the end of the response")
 }
 
 // maxCarried bounds the number of request IDs that a connection remembers. A
@@ -110,8 +144,9 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "connect to backend server")
 	}
-	head := &headLimiter{r: nc}
-	return &conn{Conn: nc, head: head, r: bufio.NewReaderSize(head, 4<<10), w: bufio.NewWriterSize(nc, 4<<10)}, nil
+	c := &conn{Conn: nc, head: &headLimiter{r: nc}}
+	c.r, c.w = bufio.NewReaderSize(c.head, 4<<10), bufio.NewWriterSize(c, 4<<10)
+	return c, nil
 }
 
 // put returns a connection to the pool. serverTimeout is the idle timeout that
--- a/core/exchanger/response.go
+++ b/core/exchanger/response.go
@@ -63,12 +63,22 @@
 // Read implements io.Reader.
 func (b *Body) Read(p []byte) (int, error) {
 	n, err := b.resp.Body.Read(p)
+	if err == io.EOF && b.endsWithConnection() {
+		if broken := b.exchange.conn.checkEnd(); broken != nil {
+			return n, broken
+		}
+	}
 	if err == io.EOF {
 		b.end()
 	}
 	return n, err
 }
 
+// endsWithConnection reports whether only the end of the connection ends the body.
+func (b *Body) endsWithConnection() bool {
+	return b.resp.ContentLength < 0 && len(b.resp.TransferEncoding) == 0 && b.resp.Body != http.NoBody
+}
+
 // end returns the connection to the pool once the request is completely
 // written.
 func (b *Body) end() {
--- a/crocusd/internal/composer/node_test.go
+++ b/crocusd/internal/composer/node_test.go
@@ -43,6 +43,10 @@
 	link, outbound, ready, admin, app string
 	machines                          []*machine
 	version                           int64
+	// bodyBytes is the limit of request bodies that configurations state; 0 for none.
+	bodyBytes int64
+	// requests counts requests, for ids.
+	requests int
 }
 
 // freePorts returns n different ports that were free at the time of the call.
@@ -121,6 +125,7 @@
 	f.store.Publish(connector.Config{
 		Version: f.version, Routes: routes,
 		Services: map[string]connector.Service{"s": {Name: "s"}, "other": {Name: "other"}},
+		Limits:   connector.Limits{BodyBytes: f.bodyBytes},
 	})
 }
 
