forwarder: a long early answer is read while the upload is still being sent

What callers saw: an upstream answers a long upload before it has read it, with more than 256 KiB and a stated length, and reads on, or ends, after the answer. The client gets nothing until its time budget is over: the answer is broken off, or the upstream then counts as gone.

Cause: the sender wrote the whole body to the link before it read the answer. The gate could pass on neither: the upstream did not read the body before its answer was taken, the answer filled the window of the stream.

Evidence: found by TestResetDuringUpload, which asks for the neighbours of the reset.

Why it works: a body longer than a chunk is sent by a goroutine of its own. Closing the stream after the answer ends it, and the exchange waits for that, so that no body is used after its release.

--- a/crocusd/internal/composer/reset_test.go
+++ b/crocusd/internal/composer/reset_test.go
@@ -75,8 +75,9 @@
 	for _, c := range []struct {
 		name, framing string
 		length        int
-		end           func(c *net.TCPConn, rest io.Reader)
-		want          string
+		// end ends the answer. The connection is closed afterwards.
+		end  func(c *net.TCPConn, rest io.Reader)
+		want string
 	}{
 		{"reset", "", short, func(c *net.TCPConn, _ io.Reader) { reset(c) }, failure},
 		{"reset of a long answer", "", long, func(c *net.TCPConn, _ io.Reader) { reset(c) }, "broken off"},
@@ -98,6 +99,10 @@
 			_, _ = io.CopyN(io.Discard, rest, uploadBytes)
 		}, whole(short)},
 		{"reset after a stated length", "Content-Length: 2000\r\n", short, func(c *net.TCPConn, _ io.Reader) { reset(c) }, whole(short)},
+		{"long answer of a stated length, then the upload is read", "Content-Length: 400000\r\n", long, func(_ *net.TCPConn, rest io.Reader) {
+			_, _ = io.Copy(io.Discard, rest)
+		}, whole(long)},
+		{"reset after a long answer of a stated length", "Content-Length: 400000\r\n", long, func(c *net.TCPConn, _ io.Reader) { reset(c) }, whole(long)},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			got := f.upload(uploads, func(cn *net.TCPConn, rest io.Reader, id string) {
--- a/crocusd/internal/forwarder/attempt.go
+++ b/crocusd/internal/forwarder/attempt.go
@@ -78,12 +78,14 @@
 	started, sent := p.f.clock.Now(), timekeeper.SinceBoot()
 	p.f.router.Start(started, p.q.Service, t.upstream.Address)
 	var got received
-	err := sendRun(s, t.run, p.q.Body)
+	sending, err := sendRun(s, t.run, p.q.Body)
 	// A gate that refuses a request early stops reading it, so there may be an
 	// answer although the request was not sent completely.
 	if !errors.Is(err, encoder.ErrUnencodable) {
 		got, err = receiveAnswer(s, t.run.GetId(), p.f.cfg.HoldAnswerBytes, p.sink)
 	}
+	_ = s.Close() // Ends a body that nobody waits for any more.
+	<-sending     // The body may be released afterwards.
 	event := eventOf(got, err)
 	if got.head == nil && ctx.Err() != nil {
 		event = resolver.Event(resolver.DeadlinePassed{})
--- a/crocusd/internal/forwarder/exchange.go
+++ b/crocusd/internal/forwarder/exchange.go
@@ -20,27 +20,41 @@
 // errAborted means that the gate marked the body of the answer as incomplete.
 var errAborted = errors.New("answer aborted by the gate")
 
-// sendRun writes a run and its body. After an error it is unknown how much of
-// them arrived.
-func sendRun(s *linker.Stream, run *encoder.Run, body []byte) error {
+// sendRun writes a run and its body. After an error it is unknown how much of them
+// arrived. A body that may not fit into the window of the stream is written in the
+// background: the upstream may answer at length before it reads the body. sent is closed
+// when nothing more is written, which is when the stream is closed at the latest.
+func sendRun(s *linker.Stream, run *encoder.Run, body []byte) (sent <-chan struct{}, err error) {
+	done := make(chan struct{})
 	head := &encoder.Request{Message: &encoder.Request_Run{Run: run}}
-	if len(body) == 0 {
-		return s.Send(head)
-	}
 	if len(body) <= encoder.ChunkBytes {
-		return s.Send(head, &encoder.Chunk{Data: body})
+		defer close(done)
+		if len(body) == 0 {
+			return done, s.Send(head)
+		}
+		return done, s.Send(head, &encoder.Chunk{Data: body})
 	}
 	if err := s.Send(head); err != nil {
-		return err
+		close(done)
+		return done, err
 	}
+	go func() {
+		defer close(done)
+		sendBody(s, body)
+	}()
+	return done, nil
+}
+
+// sendBody writes a body in chunks. If it breaks off, so does the exchange: the answer
+// says how.
+func sendBody(s *linker.Stream, body []byte) {
 	for len(body) > 0 {
 		n := min(len(body), encoder.ChunkBytes)
-		if err := s.Send(&encoder.Chunk{Data: body[:n]}); err != nil {
-			return err
+		if s.Send(&encoder.Chunk{Data: body[:n]}) != nil {
+			return
 		}
 		body = body[n:]
 	}
-	return nil
 }
 
 // bindStream sets the deadline of the stream and makes its reads fail when ctx
