headreader: the head of an answer is checked before it is parsed

A status of 600 or 999 is passed on. A status of 000 was not passed on, but nothing came at all until the time budget of the client was over.

Cause: http.ReadResponse accepts more than HTTP/1.1 and repairs it: blanks in names, folded lines, bare line feeds, one length twice, a length beside chunks, any status of three characters. Writing the answer to the client drops names that are not valid. A status below 100 counted as an interim answer, so that the node waited for another one.

What could be read in two ways is refused. Bytes that can't become a head fail at once.

--- a/core/exchanger/conn.go
+++ b/core/exchanger/conn.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"net"
+	"net/http"
 	"os"
 	"slices"
 	"sync"
@@ -12,9 +13,13 @@
 
 	"github.com/cockroachdb/errors"
 
+	"crocustack/core/headreader"
 	"crocustack/core/peeker"
 )
 
+// MaxHeadBytes bounds the head of one response.
+const MaxHeadBytes = 64 << 10
+
 const (
 	// dialTimeout bounds connecting to the backend server on the same machine.
 	// If its accept queue is full, the first SYN is dropped and retransmitted
@@ -25,6 +30,8 @@
 	idleMargin = time.Second
 	// maxIdleConns bounds the number of idle connections.
 	maxIdleConns = 256
+	// bufferBytes is the size of the buffers of an idle connection.
+	bufferBytes = 4 << 10
 	// pruneInterval is the interval at which idle connections are looked through.
 	pruneInterval = time.Second
 )
@@ -32,10 +39,10 @@
 // conn is one connection to the backend server.
 type conn struct {
 	net.Conn
-	// head limits the bytes that r reads for the head of a response.
-	head *headLimiter
-	r    *bufio.Reader
-	w    *bufio.Writer
+	source headreader.Source
+	// r reads from source. Its buffer grows with long heads.
+	r *bufio.Reader
+	w *bufio.Writer
 	// carried holds the IDs of the last requests on the connection, the newest
 	// first; empty before the first one.
 	carried []string
@@ -59,6 +66,21 @@
 	return n, err
 }
 
+// readHead reads the head of a response without its body. The method is that of the
+// request: it decides whether a body follows.
+func (c *conn) readHead(method string) (*http.Response, error) {
+	raw, r, err := headreader.Peek(c.r, &c.source, MaxHeadBytes, headreader.ResponseEnd)
+	c.r = r
+	if err == nil {
+		err = headreader.CheckResponse(raw)
+	}
+	if err != nil {
+		return nil, errors.Wrap(err, "read response")
+	}
+	resp, err := http.ReadResponse(r, &http.Request{Method: method})
+	return resp, errors.Wrap(err, "parse response")
+}
+
 // checkEnd returns an error unless the end of the stream, which a read has returned, is
 // the orderly end by the peer. The kernel reports a reset to one caller only: if that is
 // a write, a read returns the end of the stream. The write then fails with ECONNRESET.
@@ -144,8 +166,8 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "connect to backend server")
 	}
-	c := &conn{Conn: nc, head: &headLimiter{r: nc}}
-	c.r, c.w = bufio.NewReaderSize(c.head, 4<<10), bufio.NewWriterSize(c, 4<<10)
+	c := &conn{Conn: nc, source: headreader.Source{Reader: nc}}
+	c.r, c.w = bufio.NewReaderSize(&c.source, bufferBytes), bufio.NewWriterSize(c, bufferBytes)
 	return c, nil
 }
 
@@ -160,6 +182,9 @@
 		_ = c.Close()
 		return
 	}
+	if c.r.Size() > bufferBytes {
+		c.r = bufio.NewReaderSize(&c.source, bufferBytes)
+	}
 	c.usableUntil = time.Now().Add(keep)
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/core/exchanger/response.go
+++ b/core/exchanger/response.go
@@ -27,13 +27,10 @@
 // response reads the response to the request and skips interim responses and responses
 // to earlier requests.
 func (x *exchange) response(r Request) (*http.Response, error) {
-	req := &http.Request{Method: r.Method} // The method decides whether a body follows.
 	for range maxSkippedResponses {
-		x.conn.head.beginHead()
-		resp, err := http.ReadResponse(x.conn.r, req)
-		x.conn.head.endHead()
+		resp, err := x.conn.readHead(r.Method)
 		if err != nil {
-			return nil, errors.Wrap(err, "read response")
+			return nil, err
 		}
 		if resp.StatusCode >= http.StatusOK {
 			switch r.Match(resp.Header, x.fresh) {
@@ -63,15 +60,23 @@
 // Read implements io.Reader.
 func (b *Body) Read(p []byte) (int, error) {
 	n, err := b.resp.Body.Read(p)
-	if err == io.EOF && b.endsWithConnection() {
-		if broken := b.exchange.conn.checkEnd(); broken != nil {
-			return n, broken
-		}
+	if err != io.EOF {
+		return n, err
+	}
+	if err := b.checkEnd(); err != nil {
+		return n, err
 	}
-	if err == io.EOF {
-		b.end()
+	b.end()
+	return n, io.EOF
+}
+
+// checkEnd returns an error unless the body is known to be complete. http.ReadResponse
+// has compared it with its length or chunks.
+func (b *Body) checkEnd() error {
+	if b.endsWithConnection() {
+		return b.exchange.conn.checkEnd()
 	}
-	return n, err
+	return nil
 }
 
 // endsWithConnection reports whether only the end of the connection ends the body.
--- a/crocusd/internal/pipeliner/conn.go
+++ b/crocusd/internal/pipeliner/conn.go
@@ -14,6 +14,7 @@
 	"github.com/cockroachdb/errors"
 
 	"crocustack/core/bodyreader"
+	"crocustack/core/headreader"
 	"crocustack/core/peeker"
 )
 
@@ -48,7 +49,7 @@
 	ctx    context.Context
 	cancel context.CancelFunc
 	br     *bufio.Reader
-	source source
+	source headreader.Source
 
 	// writingSince is when the current write began, in Unix nanoseconds; 0 if there is
 	// none.
@@ -81,22 +82,6 @@
 	phaseIdle               // The next request, or the turn of the one that was read.
 )
 
-// source reads what was read ahead, then from the connection.
-type source struct {
-	net.Conn
-	pending []byte
-}
-
-// Read implements io.Reader.
-func (s *source) Read(b []byte) (int, error) {
-	if len(s.pending) > 0 {
-		n := copy(b, s.pending)
-		s.pending = s.pending[n:]
-		return n, nil
-	}
-	return s.Conn.Read(b)
-}
-
 var readers = sync.Pool{New: func() any { return bufio.NewReaderSize(nil, smallHead) }}
 
 // serve reads requests until the connection ends.
@@ -161,22 +146,23 @@
 	if !c.awaitBytes() {
 		return false
 	}
-	raw, err := c.readHead()
+	raw, br, err := headreader.Peek(c.br, &c.source, c.s.headLimit(), headreader.RequestEnd)
+	c.br = br
 	if err != nil {
-		if errors.Is(err, errHeadTooLong) {
+		if errors.Is(err, headreader.ErrTooLong) {
 			c.refuse(http.StatusRequestHeaderFieldsTooLarge, err)
-		} else if errors.Is(err, errMalformed) {
-			c.refuse(http.StatusBadRequest, err)
+		} else {
+			c.cancel() // The client has left.
 		}
 		return false
 	}
-	h, err := checkHead(raw)
+	h, err := headreader.CheckRequest(raw)
 	if err != nil {
 		c.refuse(http.StatusBadRequest, err)
 		return false
 	}
 	hold := c.s.cfg.Budget.Hold()
-	if cost := int64(h.bytes + fieldBytes*h.fields); cost > freeHeadBytes && !hold.TryGrow(cost) {
+	if cost := int64(h.Bytes + fieldBytes*h.Fields); cost > freeHeadBytes && !hold.TryGrow(cost) {
 		c.refuse(http.StatusServiceUnavailable, errors.New("not run: no memory for the head of the request"))
 		return false
 	}
@@ -206,7 +192,7 @@
 		}
 		return false
 	}
-	c.source.pending = append(first, c.source.pending...)
+	c.source.Unread(first)
 	c.br = readers.Get().(*bufio.Reader)
 	c.br.Reset(&c.source)
 	return c.enterHead()
@@ -228,32 +214,10 @@
 	return !c.noMore
 }
 
-// readHead returns the raw head of a request without consuming it.
-func (c *conn) readHead() ([]byte, error) {
-	limit := c.s.headLimit()
-	for {
-		b, _ := c.br.Peek(c.br.Buffered())
-		n, complete := findHead(b)
-		switch {
-		case complete && n <= limit:
-			return b[:n], nil
-		case complete, len(b) >= limit:
-			return nil, errHeadTooLong
-		case len(b) == c.br.Size():
-			c.source.pending = append(append([]byte(nil), b...), c.source.pending...)
-			c.br = bufio.NewReaderSize(&c.source, min(4*len(b), limit))
-		}
-		if _, err := c.br.Peek(c.br.Buffered() + 1); err != nil {
-			c.cancel()
-			return nil, err
-		}
-	}
-}
-
 // begin begins a request as soon as it may, and waits for its body to be read. It
 // returns false when no further request is to be read.
-func (c *conn) begin(req *http.Request, h head, hold *bodyreader.Hold) bool {
-	early := !h.hasBody && c.s.cfg.Early(req)
+func (c *conn) begin(req *http.Request, h headreader.Request, hold *bodyreader.Hold) bool {
+	early := !h.HasBody && c.s.cfg.Early(req)
 	x, ok := c.register(req, early, hold)
 	if !ok {
 		hold.Release()
@@ -264,10 +228,10 @@
 		c.refuse(http.StatusServiceUnavailable, errors.New("not run: too many requests in work"))
 		return false
 	}
-	body := newRequestBody(c, x, req, h.hasBody)
+	body := newRequestBody(c, x, req, h.HasBody)
 	req.Body, req.RemoteAddr = body, c.RemoteAddr().String()
 	go x.run(req.WithContext(withHeavy(x.ctx, x.heavy)))
-	if !h.hasBody {
+	if !h.HasBody {
 		return !req.Close
 	}
 	// The rest of the body stands before the next request.
--- a/crocusd/internal/pipeliner/server.go
+++ b/crocusd/internal/pipeliner/server.go
@@ -109,7 +109,7 @@
 			continue
 		}
 		c := &conn{Conn: nc, s: s, phaseSince: time.Now(), answered: make(chan struct{}, 1)}
-		c.source.Conn = nc
+		c.source.Reader = nc
 		c.ctx, c.cancel = context.WithCancel(context.Background())
 		if s.add(c) {
 			go c.serve()
