headreader: the trailer of an answer is checked

What callers saw: an answer in chunks whose trailer has a name with a blank comes as a complete answer.

Cause: the parser takes such a name, as in heads; nothing looked at it, since trailers are not passed on.

Why it works: the end of a body in chunks counts once the names and values of the trailer are valid. A long answer, which is streamed, is broken off.

--- a/core/exchanger/response.go
+++ b/core/exchanger/response.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"crocustack/core/headreader"
 )
 
 const (
@@ -76,7 +78,7 @@
 	if b.endsWithConnection() {
 		return b.exchange.conn.checkEnd()
 	}
-	return nil
+	return headreader.CheckTrailer(b.resp.Trailer)
 }
 
 // endsWithConnection reports whether only the end of the connection ends the body.
--- a/core/headreader/response.go
+++ b/core/headreader/response.go
@@ -56,3 +56,19 @@
 	}
 	return nil
 }
+
+// CheckTrailer checks the fields after a body in chunks, as a parser returned them. The
+// error is ErrMalformed.
+func CheckTrailer(trailer http.Header) error {
+	for name, values := range trailer {
+		if !token(name) {
+			return errors.Wrapf(ErrMalformed, "trailer field %q", name)
+		}
+		for _, v := range values {
+			if !printable(v) {
+				return errors.Wrapf(ErrMalformed, "control character in trailer field %q", name)
+			}
+		}
+	}
+	return nil
+}
--- a/crocusd/internal/composer/malformed_test.go
+++ b/crocusd/internal/composer/malformed_test.go
@@ -82,6 +82,7 @@
 		{"chunk longer than its size", okLine + stamped + "Transfer-Encoding: chunked\r\n\r\n4\r\nwhole\r\n0\r\n\r\n"},
 		{"chunk size ended by a line feed", okLine + stamped + "Transfer-Encoding: chunked\r\n\r\n5\nwhole\r\n0\r\n\r\n"},
 		{"chunk ended by a line feed", okLine + stamped + "Transfer-Encoding: chunked\r\n\r\n5\r\nwhole\n0\r\n\r\n"},
+		{"blank in the name of a trailer", okLine + stamped + "Transfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\nX Odd: a\r\n\r\n"},
 		{"trailer without a colon", okLine + stamped + "Transfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\nX-Odd\r\n\r\n"},
 		{"no HTTP", "\x00\x01\x02"},
 		{"beginning of the next answer", "whole" + okLine + stamped + framed},
