handler: answers of the project's own interface are read by the exchanger

An upload that is reset, or closed unread, during an early answer without a length: '200 Ran' with the part. A blank in the name of a field: passed on without the line; after Transfer-Encoding: 15 bytes of frames for a body of 5. Status 999 passed on; status 000 ended the handler of the entry node with a panic, so that no answer came. Heads of 1 MB were read whole (the limit of the library is 10 MB a connection).

Cause: net/http.Transport read them. It also repairs what it parses, and takes the end of the stream after a reset that its writer saw for an end.

Why it works: the client is the one of the users' platform, with its checks, its bound of 64 KiB for a head and its proof of the end. It speaks TLS too, as the settings allow https (TestTLS). peeker.Refused had no other user; Client.Ended asks the same.

--- a/core/exchanger/client.go
+++ b/core/exchanger/client.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"crypto/tls"
 	"io"
 	"net/http"
 	"strconv"
@@ -62,12 +63,21 @@
 // use.
 type Client struct{ pool *pool }
 
-// New returns a client of the backend server at host:port. Connections are kept idle for
-// the given time unless the backend server states its own.
-func New(address string, idle time.Duration) *Client { return &Client{newPool(address, idle)} }
+// Config describes how a backend server is reached.
+type Config struct {
+	Address string // host:port
+	// TLS is nil for plain TCP. It must name the server.
+	TLS *tls.Config
+	// IdleTime is how long an idle connection is kept if the backend server does not
+	// state its idle timeout.
+	IdleTime time.Duration
+}
+
+// New returns a client of a backend server. It opens no connection.
+func New(cfg Config) *Client { return &Client{newPool(cfg)} }
 
 // Address returns the host:port of the backend server.
-func (c *Client) Address() string { return c.pool.address }
+func (c *Client) Address() string { return c.pool.cfg.Address }
 
 // Close closes the idle connections. Requests in flight are not affected.
 func (c *Client) Close() { c.pool.close() }
--- a/core/exchanger/conn.go
+++ b/core/exchanger/conn.go
@@ -3,6 +3,8 @@
 import (
 	"bufio"
 	"context"
+	"crypto/tls"
+	"io"
 	"net"
 	"net/http"
 	"os"
@@ -38,8 +40,8 @@
 
 // conn is one connection to the backend server.
 type conn struct {
-	net.Conn
-	source headreader.Source
+	net.Conn // TCP, also below TLS.
+	source   headreader.Source
 	// r reads from source. Its buffer grows with long heads.
 	r *bufio.Reader
 	w *bufio.Writer
@@ -112,10 +114,7 @@
 
 // pool keeps idle connections to one address. It is safe for concurrent use.
 type pool struct {
-	address string
-	// idleTime is how long an idle connection is kept if the backend server did not
-	// state its idle timeout.
-	idleTime time.Duration
+	cfg Config
 
 	mu sync.Mutex
 	// idle holds the idle connections, least recently used first. On each of
@@ -126,9 +125,7 @@
 	pruning bool
 }
 
-func newPool(address string, idleTime time.Duration) *pool {
-	return &pool{address: address, idleTime: idleTime}
-}
+func newPool(cfg Config) *pool { return &pool{cfg: cfg} }
 
 // get returns a usable idle connection for a request or opens a new one.
 func (p *pool) get(ctx context.Context, id string) (*conn, error) {
@@ -162,19 +159,31 @@
 
 func (p *pool) dial(ctx context.Context) (*conn, error) {
 	d := net.Dialer{Timeout: dialTimeout}
-	nc, err := d.DialContext(ctx, "tcp", p.address)
+	nc, err := d.DialContext(ctx, "tcp", p.cfg.Address)
 	if err != nil {
 		return nil, errors.Wrap(err, "connect to backend server")
 	}
-	c := &conn{Conn: nc, source: headreader.Source{Reader: nc}}
-	c.r, c.w = bufio.NewReaderSize(&c.source, bufferBytes), bufio.NewWriterSize(c, bufferBytes)
+	c := &conn{Conn: nc}
+	var stream io.ReadWriter = c
+	if p.cfg.TLS != nil {
+		secure := tls.Client(c, p.cfg.TLS)
+		ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+		defer cancel()
+		if err := secure.HandshakeContext(ctx); err != nil {
+			_ = nc.Close()
+			return nil, errors.Wrap(err, "TLS handshake with backend server")
+		}
+		stream = secure
+	}
+	c.source.Reader = stream
+	c.r, c.w = bufio.NewReaderSize(&c.source, bufferBytes), bufio.NewWriterSize(stream, bufferBytes)
 	return c, nil
 }
 
 // put returns a connection to the pool. serverTimeout is the idle timeout that
 // the backend server stated, or 0.
 func (p *pool) put(c *conn, serverTimeout time.Duration) {
-	keep := p.idleTime
+	keep := p.cfg.IdleTime
 	if serverTimeout > 0 {
 		keep = serverTimeout - idleMargin
 	}
--- a/core/peeker/doc.go
+++ b/core/peeker/doc.go
@@ -1,3 +1,2 @@
-// Package peeker looks at what a connection holds without reading it, and whether
-// anything listens at an address. It owns no state.
+// Package peeker looks at what a connection holds without reading it. It owns no state.
 package peeker
--- a/core/peeker/peeker.go
+++ b/core/peeker/peeker.go
@@ -1,10 +1,8 @@
 package peeker
 
 import (
-	"context"
 	"net"
 	"syscall"
-	"time"
 
 	"github.com/cockroachdb/errors"
 	"golang.org/x/sys/unix"
@@ -90,19 +88,3 @@
 	})
 	return err == nil && pending
 }
-
-// refusalTimeout bounds the wait for a connection that is refused or accepted. An
-// address on the same machine answers at once.
-const refusalTimeout = 200 * time.Millisecond
-
-// Refused reports whether nothing listens at a TCP address: a connection to it is
-// refused. It opens a connection where something listens, and closes it.
-func Refused(ctx context.Context, address string) bool {
-	d := net.Dialer{Timeout: refusalTimeout}
-	c, err := d.DialContext(ctx, "tcp", address)
-	if err != nil {
-		return errors.Is(err, syscall.ECONNREFUSED)
-	}
-	_ = c.Close() // Nothing was sent on it.
-	return false
-}
--- a/crocusd/internal/handler/serverstate_test.go
+++ b/crocusd/internal/handler/serverstate_test.go
@@ -64,9 +64,13 @@
 	}))
 	defer server.Close()
 	want := connector.ServerState{RateLimited: true, RateLimit: 2.5}
+	b, err := NewHTTPBackend(server.URL)
+	if err != nil {
+		t.Fatal(err)
+	}
 	for _, path := range []string{"/", "/refused"} {
 		var got connector.ServerState
-		switch r := NewHTTPBackend(server.URL).Do(t.Context(), connector.Call{Method: http.MethodGet, Path: path}).(type) {
+		switch r := b.Do(t.Context(), connector.Call{Method: http.MethodGet, Path: path}).(type) {
 		case connector.Answered:
 			got = r.State
 			for _, h := range r.Headers {
--- a/crocusd/internal/runner/runner.go
+++ b/crocusd/internal/runner/runner.go
@@ -88,6 +88,10 @@
 	if err != nil {
 		return nil, err
 	}
+	backend, err := handler.NewHTTPBackend(cfg.Backend.URL)
+	if err != nil {
+		return nil, err
+	}
 	n := &Node{
 		cfg: cfg, log: program, flushLog: lines.Close, clock: timekeeper.NewClock(), started: time.Now(), drain: make(chan struct{}),
 		self: gatekeeper.Incarnation{Service: cfg.Node.Service, Address: cfg.Node.Link, BootID: gatekeeper.NewBootID()},
@@ -114,7 +118,7 @@
 			MaxBytesPerAnswer: int(cfg.Limits.HoldAnswerBytes), TicketLifetime: cfg.Limits.TicketLifetime,
 		},
 		Suspects: suspects,
-	}, handler.NewHTTPBackend(cfg.Backend.URL), n.self, n.clock, runs, calls, n.levels, n.rec)
+	}, backend, n.self, n.clock, runs, calls, n.levels, n.rec)
 	n.forward = forwarder.New(forwarder.Config{
 		HoldAnswerBytes: int(cfg.Limits.HoldAnswerBytes), TicketLifetime: cfg.Limits.TicketLifetime,
 		PassThrough: passThrough, FindUpstreams: n.findUpstreams, Suspects: suspects,
--- a/crocusfake/internal/prover/fleet_test.go
+++ b/crocusfake/internal/prover/fleet_test.go
@@ -62,6 +62,9 @@
 	kinds     []classifier.Kind
 	// wrap, if set, replaces the HTTP handler of an instance's backend server.
 	wrap func(instance int, h http.Handler) http.Handler
+	// direct is true if no relay stands between the nodes and their backend servers,
+	// since a relay does not pass on a reset as it came.
+	direct bool
 }
 
 // node is one node process with its backend server and the relays in front of both.
@@ -221,12 +224,16 @@
 	n.toBackend, err = relayer.New("127.0.0.1:0", n.backend)
 	check(t, err)
 	t.Cleanup(n.toBackend.Close)
+	backend := n.toBackend.Address()
+	if s.direct {
+		backend = n.backend
+	}
 	n.settings, n.log = filepath.Join(f.dir, n.name+".yaml"), filepath.Join(f.dir, n.name+".log")
 	text := fmt.Sprintf(`
 Node: {Service: %s, Domain: %s, Region: mazowsze, Link: %q, Listen: %q, Entry: %q, Outbound: %q, Admin: %q}
 Backend: {URL: "http://%s"}
 Platform: {URL: "http://%s"}
-`, s.name, n.domain, n.link, n.listen, n.entry, n.out, n.admin, n.toBackend.Address(), f.platform[n.domain].Address())
+`, s.name, n.domain, n.link, n.listen, n.entry, n.out, n.admin, backend, f.platform[n.domain].Address())
 	if len(f.nodes) > 0 {
 		text += fmt.Sprintf("Seeds: [%q]\n", f.nodes[0].link)
 	}
