forwarder: long answers are passed on as they arrive

What callers saw: 250 clients that read answers without end, or long ones, at 160 KB a second bring the node that they called over the memory of the smallest machine. The platform ends it, with the requests of all others.

Cause: the entry node held the first 256 KiB of each long answer, in a buffer that had doubled to 512 KiB, and went on holding it while the rest was passed on. Each part that a slow client kept waiting was held twice more, as a frame of 64 KiB and as its copy in a chunk.

Why it works: a gate states no length for an answer that it streams, and has held its beginning itself. The entry node passes such an answer on at once; only answers of a stated length are held, in a buffer of that length.

--- a/crocusd/internal/forwarder/exchange.go
+++ b/crocusd/internal/forwarder/exchange.go
@@ -1,7 +1,6 @@
 package forwarder
 
 import (
-	"bytes"
 	"context"
 	"time"
 
@@ -91,8 +90,10 @@
 	Receive(m proto.Message) error
 }
 
-// receiveAnswer reads the head and the body of an answer. A body of up to hold
-// bytes is passed to the sink only once it is complete.
+// receiveAnswer reads the head and the body of an answer. A body of a stated length of up
+// to hold bytes is passed to the sink only once it is complete. A gate states no length
+// for one that it streams, which is passed on as it arrives: many slow clients would
+// otherwise make the node hold the beginnings of all their answers.
 func receiveAnswer(s receiver, id *encoder.AttemptId, hold int, sink *trackingSink) (received, error) {
 	got := received{head: &encoder.Answer{}}
 	if err := s.Receive(got.head); err != nil {
@@ -107,52 +108,76 @@
 		got.unspent = got.head.GetUnspent()
 		return got, nil
 	}
-	return receiveBody(s, got, hold, sink)
+	r := bodyReceiver{sink: sink, head: got.head, digest: xxhash.New()}
+	if stated := got.head.GetBodyLength(); stated >= 0 {
+		r.held = make([]byte, 0, min(stated, int64(hold)))
+	}
+	end, err := r.receive(s)
+	got.unspent, got.complete = end.GetUnspent(), err == nil
+	if err == nil {
+		err = r.release()
+	}
+	return got, err
+}
+
+// bodyReceiver receives the body of an answer.
+type bodyReceiver struct {
+	sink *trackingSink
+	head *encoder.Answer
+	// held holds the body so far until it is complete; nil for a body that is passed on
+	// as it arrives. Its capacity is never exceeded.
+	held   []byte
+	digest *xxhash.Digest
+	length uint64
 }
 
-func receiveBody(s receiver, got received, hold int, sink *trackingSink) (received, error) {
-	digest := xxhash.New()
-	length := uint64(0)
-	var buffered bytes.Buffer
+// receive reads the body up to its end frame, which confirms it unless the error is set.
+func (r *bodyReceiver) receive(s receiver) (*encoder.End, error) {
 	for {
 		frame := &encoder.BodyFrame{}
 		if err := s.Receive(frame); err != nil {
-			return got, err
+			return nil, err
 		}
 		switch f := frame.GetFrame().(type) {
 		case *encoder.BodyFrame_Data:
-			_, _ = digest.Write(f.Data)
-			length += uint64(len(f.Data))
-			if !sink.headSent && buffered.Len()+len(f.Data) <= hold {
-				buffered.Write(f.Data)
-				continue
-			}
-			if !sink.headSent {
-				sink.Head(int(got.head.GetStatus()), got.head.GetHeaders(), got.head.GetBodyLength())
-				if err := sink.Write(buffered.Bytes()); err != nil {
-					return got, err
-				}
-			}
-			if err := sink.Write(f.Data); err != nil {
-				return got, err
+			if err := r.add(f.Data); err != nil {
+				return nil, err
 			}
 		case *encoder.BodyFrame_End:
-			got.unspent = f.End.GetUnspent()
-			if err := checkEnd(f.End, got.head.GetBodyLength(), length, digest.Sum64()); err != nil {
-				return got, err
-			}
-			got.complete = true
-			if sink.headSent {
-				return got, nil
-			}
-			sink.Head(int(got.head.GetStatus()), got.head.GetHeaders(), int64(buffered.Len()))
-			return got, sink.Write(buffered.Bytes())
+			return f.End, checkEnd(f.End, r.head.GetBodyLength(), r.length, r.digest.Sum64())
 		default:
-			return got, errors.New("body frame has neither data nor end")
+			return nil, errors.New("body frame has neither data nor end")
 		}
 	}
 }
 
+// add holds a part of the body or passes it on.
+func (r *bodyReceiver) add(b []byte) error {
+	_, _ = r.digest.Write(b)
+	r.length += uint64(len(b))
+	if len(b) <= cap(r.held)-len(r.held) {
+		r.held = append(r.held, b...)
+		return nil
+	}
+	if err := r.release(); err != nil {
+		return err
+	}
+	return r.sink.Write(b)
+}
+
+// release passes on what is held, and makes the rest be passed on as it arrives.
+func (r *bodyReceiver) release() error {
+	if !r.sink.headSent {
+		r.sink.Head(int(r.head.GetStatus()), r.head.GetHeaders(), r.head.GetBodyLength())
+	}
+	if len(r.held) == 0 {
+		return nil
+	}
+	held := r.held
+	r.held = nil
+	return r.sink.Write(held)
+}
+
 // checkEnd compares an end frame with the body that was read. stated is the
 // body length from the head of the answer, or negative when the head states
 // none.
--- a/crocusd/internal/pipeliner/exchange.go
+++ b/crocusd/internal/pipeliner/exchange.go
@@ -263,11 +263,28 @@
 	case x.length >= 0 && x.written > x.length:
 		return http.ErrContentLength
 	case x.length < 0 && x.chunked():
-		return x.c.write(fmt.Appendf(nil, "%x\r\n%s\r\n", len(b), b))
+		return x.writeChunks(b)
 	}
 	return x.c.write(b)
 }
 
+// maxChunk is the length of the largest chunk, which is written at a time with its size.
+const maxChunk = writeBytes - len("ffff\r\n\r\n")
+
+// writeChunks writes a part of a body in chunks. Only one of them is copied at a time: a
+// client that reads slowly keeps it waiting.
+func (x *exchange) writeChunks(b []byte) error {
+	buffer := make([]byte, 0, min(len(b), maxChunk)+writeBytes-maxChunk)
+	for len(b) > 0 {
+		n := min(len(b), maxChunk)
+		if err := x.c.write(fmt.Appendf(buffer, "%x\r\n%s\r\n", n, b[:n])); err != nil {
+			return err
+		}
+		b = b[n:]
+	}
+	return nil
+}
+
 // requestBody is the body of a request. The handler reads it; the connection waits for
 // its end.
 type requestBody struct {
--- a/crocusfake/internal/soaker/fleet.go
+++ b/crocusfake/internal/soaker/fleet.go
@@ -1,6 +1,7 @@
 package soaker
 
 import (
+	"cmp"
 	"fmt"
 	"net"
 	"net/http"
@@ -27,6 +28,9 @@
 	service = "soaked"
 )
 
+// defaultSlots is the number of slots of a backend server.
+const defaultSlots = 20
+
 // ports holds the port numbers of a node and its backend server, which are the
 // same on all machines.
 type ports struct{ link, listen, outbound, ready, admin, app string }
@@ -72,6 +76,8 @@
 	// bodies in the configuration; empty and 0 for the defaults.
 	limits    string
 	bodyBytes int64
+	// slots is the number of slots of each backend server; 0 for the default.
+	slots int
 	// closing is set when the run is over and ended processes stay down.
 	closing atomic.Bool
 
@@ -176,7 +182,7 @@
 	f.closers = append(f.closers, m.storeRelay.Close)
 	m.entry = connector.Member{
 		Instance: instance, Service: service, Address: net.JoinHostPort(m.address, f.ports.app),
-		Domain: fmt.Sprint("d", i%2), Slots: 20, StartMillis: 1, Sequence: 1,
+		Domain: fmt.Sprint("d", i%2), Slots: cmp.Or(f.slots, defaultSlots), StartMillis: 1, Sequence: 1,
 	}
 	f.store.Register(m.entry)
 	f.machines = append(f.machines, m)
