forwarder: the head of an answer from another gate is checked

What callers would see: while the nodes are updated one by one, a gate of an earlier version passes on a status of 000 or a name with a blank. The entry node answered 200 in place of a status below 100, and left the line out: pipeliner took any status below 200 for an interim one and then sent its default.

Cause: the entry node trusted what came over a link, and its writer had a default for a status that no answer can have.

Evidence: five new cases of TestReceiveAnswer (status 000, 103, 600, blank in a name, line feed in a value): passed on as run before, now 'Broken'. TestInvalidStatus: '200 OK' with the body for -1, 0 and 99, a status line of 1000; now the connection is closed.

--- a/core/headreader/field.go
+++ b/core/headreader/field.go
@@ -66,6 +66,19 @@
 	return f, nil
 }
 
+// CheckField checks a field that did not come as a line. The error is ErrMalformed.
+func CheckField[T ~string | ~[]byte](name string, values ...T) error {
+	if !token(name) {
+		return errors.Wrapf(ErrMalformed, "field name %q", name)
+	}
+	for _, v := range values {
+		if !printable(string(v)) {
+			return errors.Wrapf(ErrMalformed, "control character in field %s", name)
+		}
+	}
+	return nil
+}
+
 // printable reports whether a line has no control characters but tabs.
 func printable(line string) bool {
 	for i := range len(line) {
--- a/core/headreader/response.go
+++ b/core/headreader/response.go
@@ -57,17 +57,20 @@
 	return nil
 }
 
+// CheckStatus checks the status of a final response. The error is ErrMalformed.
+func CheckStatus(status int) error {
+	if status < http.StatusOK || status > maxStatus {
+		return errors.Wrapf(ErrMalformed, "status %d", status)
+	}
+	return nil
+}
+
 // CheckTrailer checks the fields after a body in chunks, as a parser returned them. The
 // error is ErrMalformed.
 func CheckTrailer(trailer http.Header) error {
 	for name, values := range trailer {
-		if !token(name) {
-			return errors.Wrapf(ErrMalformed, "trailer field %q", name)
-		}
-		for _, v := range values {
-			if !printable(v) {
-				return errors.Wrapf(ErrMalformed, "control character in trailer field %q", name)
-			}
+		if err := CheckField(name, values...); err != nil {
+			return err
 		}
 	}
 	return nil
--- a/crocusd/internal/forwarder/exchange.go
+++ b/crocusd/internal/forwarder/exchange.go
@@ -9,6 +9,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"crocustack/core/encoder"
+	"crocustack/core/headreader"
 	"crocustack/core/linker"
 )
 
@@ -108,6 +109,9 @@
 		got.unspent = got.head.GetUnspent()
 		return got, nil
 	}
+	if err := checkHead(got.head); err != nil {
+		return got, err
+	}
 	r := bodyReceiver{sink: sink, head: got.head, digest: xxhash.New()}
 	if stated := got.head.GetBodyLength(); stated >= 0 {
 		r.held = make([]byte, 0, min(stated, int64(hold)))
@@ -120,6 +124,20 @@
 	return got, err
 }
 
+// checkHead checks what the client would get of the head of an answer. A gate of an
+// earlier version passes on what its backend server sent.
+func checkHead(head *encoder.Answer) error {
+	if err := headreader.CheckStatus(int(head.GetStatus())); err != nil {
+		return err
+	}
+	for _, h := range head.GetHeaders() {
+		if err := headreader.CheckField(h.GetName(), h.GetValues()...); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // bodyReceiver receives the body of an answer.
 type bodyReceiver struct {
 	sink *trackingSink
--- a/crocusd/internal/forwarder/exchange_test.go
+++ b/crocusd/internal/forwarder/exchange_test.go
@@ -49,6 +49,12 @@
 	ran := func(length int64) *encoder.Answer {
 		return &encoder.Answer{Id: id, Outcome: encoder.Outcome_OUTCOME_RAN, Status: 201, BodyLength: length}
 	}
+	withStatus := func(status uint32) *encoder.Answer {
+		return &encoder.Answer{Id: id, Outcome: encoder.Outcome_OUTCOME_RAN, Status: status, BodyLength: 6}
+	}
+	withHeader := func(name, value string) *encoder.Answer {
+		return &encoder.Answer{Id: id, Outcome: encoder.Outcome_OUTCOME_RAN, Status: 201, BodyLength: 6, Headers: []*encoder.Header{encoder.NewHeader(name, value)}}
+	}
 	good := &encoder.End{Length: 6, Xxhash64: xxhash.Sum64String("abcdef"), Unspent: 2}
 	tests := []struct {
 		name  string
@@ -65,6 +71,12 @@
 		{"corrupt", script{ran(6), data("abcdeX"), end(good)}, resolver.AnswerUnknown{Reason: resolver.ReasonBroken}, ""},
 		{"stated length differs", script{ran(7), data("abcdef"), end(good)}, resolver.AnswerUnknown{Reason: resolver.ReasonBroken}, ""},
 		{"aborted", script{ran(6), data("abcdef"), end(&encoder.End{Length: 6, Xxhash64: good.GetXxhash64(), Aborted: true})}, resolver.AnswerUnknown{Reason: resolver.ReasonBroken}, ""},
+		{"status 000", script{withStatus(0), data("abcdef"), end(good)}, resolver.AnswerUnknown{Reason: resolver.ReasonBroken}, ""},
+		{"interim status", script{withStatus(103), data("abcdef"), end(good)}, resolver.AnswerUnknown{Reason: resolver.ReasonBroken}, ""},
+		{"status 600", script{withStatus(600), data("abcdef"), end(good)}, resolver.AnswerUnknown{Reason: resolver.ReasonBroken}, ""},
+		{"blank in a name", script{withHeader("X Odd", "a"), data("abcdef"), end(good)}, resolver.AnswerUnknown{Reason: resolver.ReasonBroken}, ""},
+		{"line feed in a value", script{withHeader("X-Odd", "a\nb"), data("abcdef"), end(good)}, resolver.AnswerUnknown{Reason: resolver.ReasonBroken}, ""},
+		{"octets in a value", script{withHeader("X-Odd", "caf\xe9\t"), data("abcdef"), end(good)}, resolver.AnswerRan{Status: 201}, "abcdef"},
 		{"long and truncated", script{ran(-1), data("abcdefgh"), data("ij")}, resolver.AnswerUnknown{Reason: resolver.ReasonBroken}, "abcdefghij"},
 		{"not run", script{&encoder.Answer{Id: id, Outcome: encoder.Outcome_OUTCOME_NOT_RUN, Reason: uint32(resolver.ReasonDraining)}}, resolver.AnswerNotRun{Reason: resolver.ReasonDraining}, ""},
 		{"no outcome", script{&encoder.Answer{Id: id}}, resolver.AnswerUnknown{Reason: resolver.ReasonNone}, ""},
--- a/crocusd/internal/pipeliner/exchange.go
+++ b/crocusd/internal/pipeliner/exchange.go
@@ -120,8 +120,12 @@
 // Header implements http.ResponseWriter.
 func (x *exchange) Header() http.Header { return x.header }
 
-// WriteHeader implements http.ResponseWriter.
+// WriteHeader implements http.ResponseWriter. As that of net/http, it panics if the
+// status has not three digits; the connection is then closed without an answer.
 func (x *exchange) WriteHeader(status int) {
+	if status < 100 || status > 999 {
+		panic(fmt.Sprintf("invalid status %d", status))
+	}
 	if x.status == 0 && status >= http.StatusOK {
 		x.status = status
 	}
--- a/crocusd/internal/pipeliner/pipeliner_test.go
+++ b/crocusd/internal/pipeliner/pipeliner_test.go
@@ -346,6 +346,23 @@
 	}
 }
 
+// TestInvalidStatus guards against a status that no answer can have and that becomes 200.
+func TestInvalidStatus(t *testing.T) {
+	for _, status := range []int{-1, 0, 99, 1000} {
+		s := start(t, func(w http.ResponseWriter, _ *http.Request) {
+			w.WriteHeader(status)
+			_, _ = io.WriteString(w, "body")
+		}, Bounds{})
+		c := dial(t, s)
+		_, _ = io.WriteString(c, "GET /safe HTTP/1.1\r\nHost: a\r\n\r\n")
+		if got, _ := io.ReadAll(c); len(got) > 0 {
+			t.Errorf("status %d: the client got %q, want a closed connection", status, got)
+		}
+		_ = c.Close()
+		_ = s.Close()
+	}
+}
+
 // TestOldClient guards against a client of HTTP/1.0 that waits for the end of a
 // connection that stays open, and against chunks that it can't read.
 func TestOldClient(t *testing.T) {
