listener: an answer that breaks off is reset for clients of HTTP/1.0

What callers saw: nodes with the project's own interface stream answers of more than 256 KB. If one breaks off, a client of HTTP/1.0 gets 599,999 of 600,000 bytes and the orderly end of the connection, which ends an answer for it.

Cause: net/http closes the connection after an aborted handler. Only chunks, which HTTP/1.1 has, tell that from the end of the answer.

Evidence: TestP3OldClient, real processes: '599999 bytes, error <nil>' before, a reset now; the whole answer is served.

Why it works: SO_LINGER of 0 before the close makes it a reset.

--- a/crocusd/internal/composer/reset_test.go
+++ b/crocusd/internal/composer/reset_test.go
@@ -116,3 +116,33 @@
 		})
 	}
 }
+
+// TestBrokenAnswerToOldClient guards against a long answer that breaks off and that a
+// client of HTTP/1.0, for which the end of the connection ends an answer, takes for
+// complete.
+func TestBrokenAnswerToOldClient(t *testing.T) {
+	const stated = 600_000
+	f := newAnswerFleet(t)
+	for _, c := range []struct {
+		name  string
+		sent  int
+		whole bool
+	}{{"whole", stated, true}, {"broken off", stated - 1, false}} {
+		t.Run(c.name, func(t *testing.T) {
+			f.machines[1].backend.AnswerWith(func(cn *net.TCPConn, _ io.Reader, id string) {
+				_, _ = fmt.Fprintf(cn, "%sContent-Length: %d\r\n\r\n%s", answerHead(id), stated, strings.Repeat("a", c.sent))
+			})
+			cn, err := net.Dial("tcp", net.JoinHostPort(f.machines[0].address, f.outbound))
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer func() { _ = cn.Close() }()
+			_, _ = fmt.Fprintf(cn, "GET /read/x HTTP/1.0\r\nHost: %s\r\nX-Attempt-Id: old-%s\r\n\r\n", host, c.name[:5])
+			got, err := io.ReadAll(cn)
+			_, body, _ := strings.Cut(string(got), "\r\n\r\n")
+			if whole := err == nil; whole != c.whole || whole && len(body) != stated {
+				t.Errorf("%d bytes, error %v; want a complete answer: %t", len(body), err, c.whole)
+			}
+		})
+	}
+}
--- a/crocusd/internal/listener/conn.go
+++ b/crocusd/internal/listener/conn.go
@@ -64,6 +64,20 @@
 	return c.Conn.Write(b)
 }
 
+// resetOnPanic makes an answer that a handler aborts end with a reset. It must be deferred.
+// For a client of HTTP/1.0 an answer without a length ends with the connection, so that
+// an orderly end would complete it.
+func (c *trackedConn) resetOnPanic() {
+	cause := recover()
+	if cause == nil {
+		return
+	}
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0) // If this fails, the connection is closed in order.
+	}
+	panic(cause)
+}
+
 type connKey struct{}
 
 // withConn returns a context that holds the connection, for connOf.
--- a/crocusd/internal/listener/listener.go
+++ b/crocusd/internal/listener/listener.go
@@ -74,6 +74,9 @@
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if c, ok := connOf(r.Context()); ok {
 			c.enter(phaseServing, time.Now())
+			if !r.ProtoAtLeast(1, 1) {
+				defer c.resetOnPanic()
+			}
 		}
 		h.ServeHTTP(w, r)
 		if c, ok := connOf(r.Context()); ok {
--- a/crocusfake/internal/prover/broken_test.go
+++ b/crocusfake/internal/prover/broken_test.go
@@ -139,3 +139,31 @@
 		})
 	}
 }
+
+// TestP3OldClient guards against a long answer that breaks off and that a client of
+// HTTP/1.0, for which the end of the connection ends an answer, takes for complete.
+func TestP3OldClient(t *testing.T) {
+	f, server := startScripted(t)
+	const stated = 600_000
+	for _, c := range []struct {
+		name  string
+		sent  int
+		whole bool
+	}{{"whole", stated, true}, {"broken off", stated - 1, false}} {
+		t.Run(c.name, func(t *testing.T) {
+			server.set(func(cn *net.TCPConn, _ io.Reader) {
+				_, _ = fmt.Fprintf(cn, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", stated, strings.Repeat("a", c.sent))
+			})
+			cn, err := net.Dial("tcp", f.nodes[0].entry)
+			check(t, err)
+			defer func() { _ = cn.Close() }()
+			_, err = io.WriteString(cn, "POST /archive/images/1 HTTP/1.0\r\nHost: a\r\nContent-Length: 0\r\n\r\n")
+			check(t, err)
+			got, err := io.ReadAll(cn)
+			_, body, _ := bytes.Cut(got, []byte("\r\n\r\n"))
+			if whole := err == nil; whole != c.whole || whole && len(body) != stated {
+				t.Errorf("%d bytes, error %v; want a complete answer: %t", len(body), err, c.whole)
+			}
+		})
+	}
+}
