dispatcher: late in a planned stop only calls that can end are taken

Cause: from 2.5 s after SIGTERM the node refuses requests of clients, and takes calls, which belong to requests in flight. It took whatever has a dot in its id for a call, whether or not such a request runs, and calls however little time was left for them.

Evidence: TestStopRefusesLateRequests sends both kinds every 220 ms.

Why it works: a call is one only if the request of its parent is running at this node's server. It is taken only if the target latency of its route fits into the time until the cut. A call that is refused fails its parent, which is in flight here and has as little time left.

TestClosedTakesOnlyCalls had a call of a request that was not running and expected it to be served, which is the fault. It now registers that request, and checks besides that an id alone does not do and that a call too late for its target latency is refused.

--- a/crocusd/internal/composer/composer.go
+++ b/crocusd/internal/composer/composer.go
@@ -333,7 +333,8 @@
 	n.dispatch.Leave()
 	n.announceLeaving()
 	timekeeper.Sleep(ctx, drainDelay)
-	n.dispatch.Close()
+	cut, _ := ctx.Deadline()
+	n.dispatch.Close(cut)
 	n.handler.StartDraining()
 	for ctx.Err() == nil && (n.handler.Active() > 0 || n.dispatch.Active() > 0) {
 		timekeeper.Sleep(ctx, shutdownPollInterval)
--- a/crocusd/internal/composer/shutdown_test.go
+++ b/crocusd/internal/composer/shutdown_test.go
@@ -80,3 +80,58 @@
 	ended.Wait()
 	<-f.machines[1].ended
 }
+
+// TestStopRefusesLateRequests guards against a planned stop that takes requests late in
+// the grace period and cuts them off at its end, when they have run: those of clients
+// whose ids look like the id of a call, and calls of the backend server that can't end
+// in time.
+func TestStopRefusesLateRequests(t *testing.T) {
+	const work = 800 * time.Millisecond
+	f := newFleet(t, "other", "s")
+	f.publishRoutes(
+		connector.Route{Name: "write", Host: host, Prefix: "/write/", Timeout: 6 * time.Second, Objective: time.Second, Shares: []connector.Share{{Service: "s", Weight: 1}}},
+		connector.Route{Name: "own", Host: host, Prefix: "/own/", Timeout: 8 * time.Second, Shares: []connector.Share{{Service: "other", Weight: 1}}},
+	)
+	f.eventually("the new routes", func() bool {
+		return f.send(0, standin.Request{ID: fmt.Sprint("n-", time.Now().UnixNano()), Method: http.MethodPost, Target: "/own/x"}).Proof
+	})
+	f.machines[0].backend.Latency, f.machines[1].backend.Latency = 8*time.Second, work
+	entry := net.JoinHostPort(f.machines[0].address, f.outbound)
+	send := func(id, target string) standin.Result {
+		return standin.Send(t.Context(), entry, standin.Request{ID: id, Method: http.MethodPost, Host: host, Target: target, Body: "b", Budget: 7 * time.Second})
+	}
+	var sent sync.WaitGroup
+	sent.Go(func() { send("parent", "/own/x") }) // Runs on beside the node until it ends.
+	f.eventually("the run of the parent", func() bool { return len(f.runsOf("parent")) > 0 })
+	stopped := time.Now()
+	f.machines[0].stop()
+	served := 0
+	var mu sync.Mutex
+	for i := range 25 {
+		for _, parent := range []string{"till", "parent"} {
+			id := fmt.Sprintf("%s.%d", parent, i)
+			sent.Go(func() {
+				at := time.Since(stopped)
+				got := send(id, "/write/x")
+				switch runs := len(f.runsOf(id)); {
+				case got.Status == http.StatusOK && runs == 1:
+					mu.Lock()
+					defer mu.Unlock()
+					if parent == "parent" && at > drainDelay {
+						served++
+					}
+				case got.Status == http.StatusServiceUnavailable && runs == 0:
+				case got.Status == 0 && runs == 0: // The node was gone.
+				default:
+					t.Errorf("%s, sent %v after the signal: status %d, ran %d times", id, at.Round(time.Millisecond), got.Status, runs)
+				}
+			})
+		}
+		time.Sleep(220 * time.Millisecond)
+	}
+	<-f.machines[0].ended
+	sent.Wait()
+	if served == 0 {
+		t.Error("no call of the request in flight was served after clients were refused")
+	}
+}
--- a/crocusd/internal/dispatcher/dispatcher.go
+++ b/crocusd/internal/dispatcher/dispatcher.go
@@ -1,6 +1,7 @@
 package dispatcher
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"math/rand/v2"
@@ -28,6 +29,9 @@
 	// defaultBudget is the time budget of a request for which neither the client
 	// nor the route states one.
 	defaultBudget = 10 * time.Second
+	// defaultCallTime is how long a call is likely to take whose route states no target
+	// latency.
+	defaultCallTime = time.Second
 	// defaultMaxBodyBytes bounds request bodies while no active configuration
 	// states a bound.
 	defaultMaxBodyBytes = 1 << 20
@@ -70,9 +74,10 @@
 	splitter *matcher.Splitter
 	routing  atomic.Pointer[routing]
 	leaving  atomic.Bool
-	// closed is true once new requests of clients are refused.
-	closed atomic.Bool
-	active atomic.Int64
+	// closing is when requests in flight are cut off; nil until new requests of clients
+	// are refused.
+	closing atomic.Pointer[time.Time]
+	active  atomic.Int64
 }
 
 // New returns a Dispatcher without a configuration.
@@ -102,10 +107,10 @@
 // served.
 func (d *Dispatcher) Leave() { d.leaving.Store(true) }
 
-// Close refuses new requests of clients, so that those in flight can end before
-// the process does. Calls of the backend server are still served, because they
-// belong to requests in flight.
-func (d *Dispatcher) Close() { d.closed.Store(true) }
+// Close refuses new requests, so that those in flight can end before the process cuts
+// them off at the given time. Calls that belong to requests in flight at the backend
+// server are still served if they are likely to end before it.
+func (d *Dispatcher) Close(cut time.Time) { d.closing.Store(&cut) }
 
 // Leaving implements connector.Dispatcher.
 func (d *Dispatcher) Leaving() bool { return d.leaving.Load() }
@@ -138,7 +143,7 @@
 func (d *Dispatcher) Dispatch(ctx context.Context, in connector.Inbound, sink connector.Sink) connector.Verdict {
 	d.active.Add(1)
 	defer d.active.Add(-1)
-	q, reason := d.request(in)
+	q, reason := d.request(time.Now(), in)
 	if reason != resolver.ReasonNone {
 		return d.refuse(q, in, reason)
 	}
@@ -167,7 +172,7 @@
 
 // request builds the forwarder's request from an inbound request and the active
 // configuration, or returns the reason to refuse it.
-func (d *Dispatcher) request(in connector.Inbound) (forwarder.Request, resolver.Reason) {
+func (d *Dispatcher) request(now time.Time, in connector.Inbound) (forwarder.Request, resolver.Reason) {
 	q := forwarder.Request{
 		ID: in.ID, Caller: in.Caller, Method: in.Method, Host: in.Host, Path: in.Target, Headers: in.Headers, Body: in.Body,
 		Outbound: in.Parent != "",
@@ -176,13 +181,17 @@
 	if r == nil {
 		return q, resolver.ReasonNotReady
 	}
-	if d.closed.Load() && in.Parent == "" {
+	cut := d.closing.Load()
+	if cut != nil && !d.belongsToRun(in) {
 		return q, resolver.ReasonDraining
 	}
 	route, ok := r.table.Find(in.Host, in.Path)
 	if !ok {
 		return q, resolver.ReasonUnknownKind
 	}
+	if cut != nil && now.Add(cmp.Or(route.Objective, defaultCallTime)).After(*cut) {
+		return q, resolver.ReasonDraining
+	}
 	q.Service = d.splitter.Choose(route)
 	q.Kind = kindOf(route, q.Service)
 	if r.organisations != nil {
@@ -200,6 +209,16 @@
 	return q, resolver.ReasonNone
 }
 
+// belongsToRun reports whether a request is a call for a request that the backend server
+// is running. That its id looks like one proves nothing: clients choose their ids.
+func (d *Dispatcher) belongsToRun(in connector.Inbound) bool {
+	if in.Parent == "" {
+		return false
+	}
+	_, ok := d.runs.Find(in.Parent, "").(tracer.Matched)
+	return ok
+}
+
 // deadline returns the end of the client's time budget or of the route's
 // timeout, whichever is earlier.
 func deadline(in connector.Inbound, route connector.Route) time.Time {
--- a/crocusd/internal/dispatcher/dispatcher_test.go
+++ b/crocusd/internal/dispatcher/dispatcher_test.go
@@ -183,20 +183,31 @@
 // against refusing calls that running requests wait for.
 func TestClosedTakesOnlyCalls(t *testing.T) {
 	f := &fakeForwarder{outcome: resolver.Ran{Status: 200}}
-	d, _ := newDispatcher(f)
+	d, runs := newDispatcher(f)
 	d.SetConfig(config(1, 0))
 	d.Leave()
 	if v := d.Dispatch(context.Background(), inbound(time.Second), &abortSink{}); v != connector.Verdict(connector.Delivered{}) {
 		t.Errorf("request after Leave and before Close: %+v", v)
 	}
-	d.Close()
-	v, ok := d.Dispatch(context.Background(), inbound(time.Second), &abortSink{}).(connector.Refused)
-	if !ok || v.Reason != resolver.ReasonDraining || v.RetryAfter <= 0 {
-		t.Errorf("request after Close: %+v", v)
+	d.Close(time.Now().Add(time.Minute))
+	runs.Add(&tracer.Run{Token: "1", TraceID: "t", RequestID: "1", Deadline: time.Now().Add(time.Minute)})
+	named := func(id, parent string) connector.Inbound {
+		in := inbound(time.Second)
+		in.ID, in.Parent = id, parent
+		return in
+	}
+	refused := func(what string, in connector.Inbound) {
+		t.Helper()
+		v, ok := d.Dispatch(context.Background(), in, &abortSink{}).(connector.Refused)
+		if !ok || v.Reason != resolver.ReasonDraining || v.RetryAfter <= 0 {
+			t.Errorf("%s: %+v", what, v)
+		}
 	}
-	call := inbound(time.Second)
-	call.ID, call.Parent = "1.2", "1"
-	if v := d.Dispatch(context.Background(), call, &abortSink{}); v != connector.Verdict(connector.Delivered{}) {
+	refused("request after Close", inbound(time.Second))
+	refused("request after Close whose id looks like that of a call", named("till7.2", "till7"))
+	if v := d.Dispatch(context.Background(), named("1.2", "1"), &abortSink{}); v != connector.Verdict(connector.Delivered{}) {
 		t.Errorf("call after Close: %+v", v)
 	}
+	d.Close(time.Now().Add(500 * time.Millisecond)) // Half of the target latency.
+	refused("call that can't end in time", named("1.3", "1"))
 }
