composer: an odd entry of the store takes no server's place

Cause: of all entries with one IP address the one that was written last was kept, before those were left out whose service isn't named; port 0 and any positive number of slots counted as valid. Slots of such an entry also became the limit of the gate there.

--- a/crocusd/internal/composer/storereader.go
+++ b/crocusd/internal/composer/storereader.go
@@ -245,19 +245,20 @@
 	n.log.Info("view in force", "Config", v.Config.Version, "Members", len(v.Members), "Era", position.Era, "Revision", position.Revision)
 	byHost := newestByHost(v.Members)
 	n.replicator.SetMembers(n.linkAddresses(byHost))
+	servers := newestByHost(namedMembers(v))
 	own := max(n.countGates(v), 1)
 	services := make(map[string]releaser.Service, len(v.Config.Services))
 	for name := range v.Config.Services {
 		services[name] = releaser.Service{Name: name, RetryRatio: n.bounds.Load().RetryRatio}
-		n.router.SetUpstreams(now, name, n.upstreams(byHost, name))
+		n.router.SetUpstreams(now, name, n.upstreams(servers, name))
 		n.registerOutbound(name)
 	}
 	b := n.bounds.Load()
 	n.forward.SetRetryBurst(b.RetrySlack)
 	n.forward.SetServices(services)
 	n.handler.SetRetryBudget(b.RetryRatio*gateRetryShare, b.RetrySlack/float64(own), b.RetryWindow)
-	n.setSlots(byHost)
-	n.applyOrganisations(v, byHost)
+	n.setSlots(servers)
+	n.applyOrganisations(v, servers)
 	n.dispatch.SetConfig(v.Config)
 }
 
@@ -301,6 +302,16 @@
 	return count
 }
 
+// namedMembers returns the members whose services the configuration names. Entries of
+// others, such as an agent on the machine of a backend server, must not take the place of
+// the server's own.
+func namedMembers(v observer.View) []connector.Member {
+	return slices.DeleteFunc(slices.Clone(v.Members), func(m connector.Member) bool {
+		_, named := v.Config.Services[m.Service]
+		return !named
+	})
+}
+
 // newestByHost returns the member on each machine, keyed by host. When the
 // entries of several runs name the same machine, the one written last is returned.
 func newestByHost(members []connector.Member) map[string]connector.Member {
