--- a/crocusd/internal/composer/endless_test.go
+++ b/crocusd/internal/composer/endless_test.go
@@ -5,8 +5,6 @@
 	"io"
 	"net"
 	"net/http"
-	"runtime"
-	"runtime/metrics"
 	"strings"
 	"sync"
 	"testing"
@@ -37,17 +35,17 @@
 		return f.send(0, standin.Request{ID: id, Method: http.MethodPost, Target: "/sound/x"})
 	}
 	f.eventually("the new routes", func() bool { return sound(fmt.Sprint("n-", time.Now().UnixNano())).Proof })
-	const head = okLine + "X-Attempt-Id: ID\r\nX-Response-Stamp: p\r\n"
+	head := okLine + stamped
 	for _, c := range []struct{ name, head, repeated string }{
 		{"status line", "HTTP/1.1 200 ", strings.Repeat("a", 32<<10)},
 		{"one field", "HTTP/1.1 200 OK\r\nX-A: ", strings.Repeat("a", 32<<10)},
 		{"fields", "HTTP/1.1 200 OK\r\n", strings.Repeat("X-A: b\r\n", 4<<10)},
 		{"no HTTP", "", strings.Repeat("\x00\x01\x02", 10<<10)},
 		{"early hints", "", strings.Repeat("HTTP/1.1 103 Early Hints\r\n\r\n", 1<<10)},
-		{"answers to others", "", strings.Repeat(okLine+"X-Attempt-Id: other\r\nContent-Length: 0\r\n\r\n", 1<<10)},
-		{"body of another answer", okLine + "X-Attempt-Id: other\r\n\r\n", strings.Repeat("a", 32<<10)},
-		{"body of a refusal", okLine + "X-Attempt-Id: ID\r\nX-Not-Executed: 1\r\n\r\n", strings.Repeat("a", 32<<10)},
-		{"body without a stamp", okLine + "X-Attempt-Id: ID\r\n\r\n", strings.Repeat("a", 32<<10)},
+		{"answers to others", "", strings.Repeat(okLine+standin.IDField("other")+"Content-Length: 0\r\n\r\n", 1<<10)},
+		{"body of another answer", okLine + standin.IDField("other") + "\r\n", strings.Repeat("a", 32<<10)},
+		{"body of a refusal", okLine + standin.RefusalFields("ID") + "\r\n", strings.Repeat("a", 32<<10)},
+		{"body without a stamp", okLine + standin.IDField("ID") + "\r\n", strings.Repeat("a", 32<<10)},
 		{"body", head + "\r\n", strings.Repeat("a", 32<<10)},
 		{"body of a huge length", head + "Content-Length: 999999999999\r\n\r\n", strings.Repeat("a", 32<<10)},
 		{"chunk size", head + "Transfer-Encoding: chunked\r\n\r\n", strings.Repeat("0", 32<<10)},
@@ -63,7 +61,7 @@
 				}
 			})
 			stop := make(chan struct{})
-			highest := watchHeap(stop)
+			highest := standin.WatchHeap(stop)
 			outcomes := make([]string, requests)
 			beside := make([]string, requests)
 			var wg sync.WaitGroup
@@ -100,25 +98,3 @@
 	}
 	return out
 }
-
-// watchHeap returns a channel that gets the highest number of bytes on the heap that a
-// garbage collection found in use until stop is closed.
-func watchHeap(stop <-chan struct{}) <-chan uint64 {
-	highest := make(chan uint64, 1)
-	go func() {
-		var most uint64
-		live := []metrics.Sample{{Name: "/gc/heap/live:bytes"}}
-		for {
-			runtime.GC()
-			metrics.Read(live)
-			most = max(most, live[0].Value.Uint64())
-			select {
-			case <-stop:
-				highest <- most
-				return
-			case <-time.After(10 * time.Millisecond):
-			}
-		}
-	}()
-	return highest
-}
--- a/crocusd/internal/composer/malformed_test.go
+++ b/crocusd/internal/composer/malformed_test.go
@@ -29,11 +29,13 @@
 }
 
 const (
-	okLine  = "HTTP/1.1 200 OK\r\n"
-	stamped = "X-Attempt-Id: ID\r\nX-Response-Stamp: p\r\n"
-	framed  = "Content-Length: 5\r\n\r\nwhole"
+	okLine = "HTTP/1.1 200 OK\r\n"
+	framed = "Content-Length: 5\r\n\r\nwhole"
 )
 
+// stamped holds the fields of an answer of the backend server.
+var stamped = standin.AnswerFields("ID")
+
 // TestMalformedAnswer guards against an answer that reaches the client although it is none
 // in the protocol, or after a parser has repaired it, left a line out or ended its body
 // elsewhere. It must fail at once, not at the end of the time budget.
@@ -114,12 +116,12 @@
 		{"no reason and no blank", "HTTP/1.1 200\r\n" + stamped + framed, whole},
 		{"reason with octets", "HTTP/1.1 200 D'accord, caf\xe9\r\n" + stamped + framed, whole},
 		{"octets, tabs and blanks in values", okLine + stamped + "X-A: caf\xe9\r\nX-B: a\tb  \r\nX-C:\r\nX-D:d\r\n" + framed, whole},
-		{"lower-case names", okLine + strings.ToLower("X-Attempt-Id: ") + "ID\r\nx-response-stamp: p\r\ncontent-length: 5\r\n\r\nwhole", whole},
+		{"lower-case names", okLine + lowerNames(stamped+"Content-Length: 5\r\n") + "\r\nwhole", whole},
 		{"odd but valid name", okLine + stamped + "!#$%&'*+-.^_`|~1: a\r\n" + framed, whole},
 		{"fields of one name", okLine + stamped + "X-A: 1\r\nX-A: 2\r\n" + framed, whole},
 		{"long head", okLine + stamped + "X-A: " + strings.Repeat("a", 40<<10) + "\r\n" + framed, whole},
 		{"interim answers", "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: </x>\r\n\r\n" + okLine + stamped + framed, whole},
-		{"late answer before it", okLine + "X-Attempt-Id: late\r\nX-Response-Stamp: p\r\n" + framed + okLine + stamped + framed, whole},
+		{"late answer before it", okLine + standin.AnswerFields("late") + framed + okLine + stamped + framed, whole},
 		{"extra answer after it", okLine + stamped + framed + okLine + stamped + framed, whole},
 		{"extra bytes after it", okLine + stamped + framed + "extra", whole},
 		{"chunks", okLine + stamped + "Transfer-Encoding: chunked\r\n\r\n2\r\nwh\r\n3;a=b\r\nole\r\n0\r\nX-A: b\r\n\r\n", whole},
@@ -137,3 +139,15 @@
 		})
 	}
 }
+
+// lowerNames returns header fields with their names in lower case.
+func lowerNames(fields string) string {
+	var out strings.Builder
+	for line := range strings.SplitAfterSeq(fields, "\r\n") {
+		name, value, _ := strings.Cut(line, ":")
+		if value != "" {
+			out.WriteString(strings.ToLower(name) + ":" + value)
+		}
+	}
+	return out.String()
+}
--- a/crocusd/internal/composer/reset_test.go
+++ b/crocusd/internal/composer/reset_test.go
@@ -35,7 +35,7 @@
 
 // answerHead returns the head of a stamped answer without its framing and its end.
 func answerHead(id string) string {
-	return "HTTP/1.1 200 OK\r\nX-Attempt-Id: " + id + "\r\nX-Response-Stamp: p\r\n"
+	return "HTTP/1.1 200 OK\r\n" + standin.AnswerFields(id)
 }
 
 // upload sends long uploads through node 0, which the script answers, and returns what
@@ -123,7 +123,7 @@
 func TestBrokenAnswerToOldClient(t *testing.T) {
 	const stated = 600_000
 	f := newAnswerFleet(t)
-	for _, c := range []struct {
+	for i, c := range []struct {
 		name  string
 		sent  int
 		whole bool
@@ -137,7 +137,8 @@
 				t.Fatal(err)
 			}
 			defer func() { _ = cn.Close() }()
-			_, _ = fmt.Fprintf(cn, "GET /read/x HTTP/1.0\r\nHost: %s\r\nX-Attempt-Id: old-%s\r\n\r\n", host, c.name[:5])
+			head := standin.Head(standin.Request{ID: fmt.Sprint("old-", i), Method: http.MethodGet, Host: host, Target: "/read/x"})
+			_, _ = io.WriteString(cn, strings.Replace(head, "HTTP/1.1", "HTTP/1.0", 1)+"\r\n")
 			got, err := io.ReadAll(cn)
 			_, body, _ := strings.Cut(string(got), "\r\n\r\n")
 			if whole := err == nil; whole != c.whole || whole && len(body) != stated {
--- a/crocusfake/internal/soaker/endless_test.go
+++ b/crocusfake/internal/soaker/endless_test.go
@@ -94,7 +94,7 @@
 
 // endlessAnswer sends a body until the connection is closed.
 func endlessAnswer(c *net.TCPConn, _ io.Reader, id string) {
-	_, err := io.WriteString(c, "HTTP/1.1 200 OK\r\nX-Attempt-Id: "+id+"\r\nX-Response-Stamp: p\r\n\r\n")
+	_, err := io.WriteString(c, "HTTP/1.1 200 OK\r\n"+standin.AnswerFields(id)+"\r\n")
 	for piece := strings.Repeat("a", 32<<10); err == nil; {
 		_, err = io.WriteString(c, piece)
 	}
