dispatcher: an id with a dot does not exempt from a rate limit

What callers would see: an organisation whose clients use ids with a dot gets more than its rate limit, at the cost of others.

Cause: what has a dot in its id counted as a call, and calls are not charged to an organisation.

Evidence: TestOrganisationsInDispatch with the parent 'till7', which is not running: delivered before, now OrganisationLimited.

Why it works: only a call of a request that runs here is exempt.

--- a/crocusd/internal/dispatcher/dispatcher.go
+++ b/crocusd/internal/dispatcher/dispatcher.go
@@ -147,7 +147,7 @@
 	if reason != resolver.ReasonNone {
 		return d.refuse(q, in, reason)
 	}
-	if !q.Outbound && in.Identity.Organisation != "" {
+	if in.Identity.Organisation != "" && !d.belongsToRun(in) {
 		if ok, wait := d.keys.Limits.Acquire(ctx, in.Identity.Organisation); !ok {
 			refused := d.refuse(q, in, resolver.ReasonOrganisationLimited)
 			refused.RetryAfter = max(refused.RetryAfter, wait)
--- a/crocusd/internal/dispatcher/identity_test.go
+++ b/crocusd/internal/dispatcher/identity_test.go
@@ -72,7 +72,7 @@
 }
 
 // TestOrganisationsInDispatch guards against an organisation that goes on beyond its
-// limit, and against a rank that is ignored.
+// limit, also with ids that look like those of calls, and against a rank that is ignored.
 func TestOrganisationsInDispatch(t *testing.T) {
 	f := &fakeForwarder{outcome: resolver.Ran{Status: 200}}
 	d := New(f, tracer.NewRegistry(), recorder.New(logr.Discard(), 8), Keys{Limits: fixedRationer{limited: "b"}})
@@ -86,8 +86,11 @@
 		}
 	}
 	in.Identity.Organisation = "b"
-	v, ok := d.Dispatch(context.Background(), in, &abortSink{}).(connector.Refused)
-	if !ok || v.Reason != resolver.ReasonOrganisationLimited || v.RetryAfter < 700*time.Millisecond {
-		t.Errorf("beyond the limit: %+v", v)
+	for _, parent := range []string{"", "till7"} { // No request till7 is running.
+		in.Parent = parent
+		v, ok := d.Dispatch(context.Background(), in, &abortSink{}).(connector.Refused)
+		if !ok || v.Reason != resolver.ReasonOrganisationLimited || v.RetryAfter < 700*time.Millisecond {
+			t.Errorf("beyond the limit, parent %q: %+v", parent, v)
+		}
 	}
 }
