--- a/core/exchanger/response.go
+++ b/core/exchanger/response.go
@@ -56,11 +56,16 @@
 type Body struct {
 	exchange *exchange
 	resp     *http.Response
-	ended    bool
+	// complete is true once the body was read to its end. ended is true from then on,
+	// or from Close: the connection is no longer used here.
+	complete, ended bool
 }
 
 // Read implements io.Reader.
 func (b *Body) Read(p []byte) (int, error) {
+	if b.complete {
+		return 0, io.EOF
+	}
 	n, err := b.resp.Body.Read(p)
 	if err != io.EOF {
 		return n, err
@@ -68,6 +73,7 @@
 	if err := b.checkEnd(); err != nil {
 		return n, err
 	}
+	b.complete = true
 	b.end()
 	return n, io.EOF
 }
