--- a/core/exchanger/client.go
+++ b/core/exchanger/client.go
@@ -39,7 +39,8 @@
 // Request is a request to the backend server.
 type Request struct {
 	connector.Call
-	// Header holds all headers but Content-Length and DeadlineHeader.
+	// Header holds all headers but Content-Length and DeadlineHeader, in place of
+	// Call.Headers, and is changed by Do.
 	Header http.Header
 	// DeadlineHeader is the name of the header that states the milliseconds until the
 	// deadline of the context.
--- a/core/exchanger/conn.go
+++ b/core/exchanger/conn.go
@@ -57,7 +57,7 @@
 	writeErr error
 }
 
-// Write implements io.Writer.
+// Write implements io.Writer. It keeps the first error for checkEnd.
 func (c *conn) Write(b []byte) (int, error) {
 	c.writeMu.Lock()
 	defer c.writeMu.Unlock()
--- a/crocusd/internal/composer/reset_test.go
+++ b/crocusd/internal/composer/reset_test.go
@@ -26,13 +26,12 @@
 	f := newFleet(t, "other", "s")
 	f.bodyBytes = uploadBytes
 	f.publish(connector.Share{Service: "s", Weight: 1})
-	f.eventually("the new routes", func() bool { return f.get(0, fmt.Sprint("n-", time.Now().UnixNano())).Body != "" && f.ranAt(1) })
+	f.eventually("a request at the second server", func() bool {
+		return f.get(0, fmt.Sprint("n-", time.Now().UnixNano())).Proof && len(f.machines[1].backend.Runs()) > 0
+	})
 	return f
 }
 
-// ranAt reports whether the backend server of machine i has run a request.
-func (f *fleet) ranAt(i int) bool { return len(f.machines[i].backend.Runs()) > 0 }
-
 // answerHead returns the head of a stamped answer without its framing and its end.
 func answerHead(id string) string {
 	return "HTTP/1.1 200 OK\r\n" + standin.AnswerFields(id)
