dispatcher: a call with a short time budget is taken until it fits no more

Found in the last read: a call that its own deadline ends before the cut can't be cut off, and was refused if the target latency of its route was longer.

--- a/crocusd/internal/dispatcher/dispatcher.go
+++ b/crocusd/internal/dispatcher/dispatcher.go
@@ -189,9 +189,6 @@
 	if !ok {
 		return q, resolver.ReasonUnknownKind
 	}
-	if cut != nil && now.Add(cmp.Or(route.Objective, defaultCallTime)).After(*cut) {
-		return q, resolver.ReasonDraining
-	}
 	q.Service = d.splitter.Choose(route)
 	q.Kind = kindOf(route, q.Service)
 	if r.organisations != nil {
@@ -206,6 +203,9 @@
 	q.Objective = route.Objective
 	q.Deadline = deadline(in, route)
 	d.joinTree(&q, in)
+	if cut != nil && likelyEnd(now, route, q.Deadline).After(*cut) {
+		return q, resolver.ReasonDraining
+	}
 	return q, resolver.ReasonNone
 }
 
@@ -219,6 +219,16 @@
 	return ok
 }
 
+// likelyEnd returns when a call that begins now will most likely have ended: after the
+// target latency of its route, and at its deadline at the latest.
+func likelyEnd(now time.Time, route connector.Route, deadline time.Time) time.Time {
+	end := now.Add(cmp.Or(route.Objective, defaultCallTime))
+	if deadline.Before(end) {
+		return deadline
+	}
+	return end
+}
+
 // deadline returns the end of the client's time budget or of the route's
 // timeout, whichever is earlier.
 func deadline(in connector.Inbound, route connector.Route) time.Time {
--- a/crocusd/internal/dispatcher/dispatcher_test.go
+++ b/crocusd/internal/dispatcher/dispatcher_test.go
@@ -210,4 +210,9 @@
 	}
 	d.Close(time.Now().Add(500 * time.Millisecond)) // Half of the target latency.
 	refused("call that can't end in time", named("1.3", "1"))
+	short := named("1.4", "1")
+	short.Budget = 200 * time.Millisecond
+	if v := d.Dispatch(context.Background(), short, &abortSink{}); v != connector.Verdict(connector.Delivered{}) {
+		t.Errorf("call whose time budget ends before the cut: %+v", v)
+	}
 }
