--- a/crocusctl/internal/commander/advice.go
+++ b/crocusctl/internal/commander/advice.go
@@ -47,7 +47,7 @@
 	resolver.ReasonBackendUnreachable: {"", notRun, "503",
 		"No connection to the backend server could be opened.", "Check that the backend server runs and that Backend.URL is right."},
 	resolver.ReasonBackendLost: {"", unknown, "504",
-		"The connection to the backend server broke after the request was sent.", "Look for a crash of the backend server; check by hand whether the work was done."},
+		"The connection to the backend server broke after the request was sent.", "Look for a crash of the backend server, or for a response that is none in HTTP/1.1; check by hand whether the work was done."},
 	resolver.ReasonNoUpstream: {"", notRun, "503",
 		"No upstream of the service is known or usable.", "Check the instance lists of the platform and which instances are leaving."},
 	resolver.ReasonNoLink: {"", notRun, "503, 428",
