exchanger: a response is taken only with a proof of its request

Cause: answers of the own interface stated no request, and each was taken for that to the last request. The class: a response without proof counts. Looked for elsewhere: - A connection remembered eight ids. After eight others it could carry an id again, and a copy of the first refusal then counted for the second sending. - A request without an id matched each response without one. - Responses that state two different ids were taken by the first. - Links: each stream is one attempt and its answer states it.

A connection doesn't carry an id again until the time of the request that had it is over.

--- a/core/exchanger/client.go
+++ b/core/exchanger/client.go
@@ -24,18 +24,6 @@
 	endedTimeout = 200 * time.Millisecond
 )
 
-// Match is what the headers of a response say about the request that it answers.
-type Match int
-
-//go:generate stringer -type=Match -trimprefix=Match
-
-// The values of Match.
-const (
-	MatchYes     Match = iota // It answers the request.
-	MatchOther                // It answers another request.
-	MatchUnclear              // It may answer either.
-)
-
 // Request is a request to the backend server.
 type Request struct {
 	connector.Call
@@ -45,9 +33,10 @@
 	// DeadlineHeader is the name of the header that states the milliseconds until the
 	// deadline of the context.
 	DeadlineHeader string
-	// Match reports whether a final response answers the request. fresh is true if the
-	// connection has carried no other request.
-	Match func(header http.Header, fresh bool) Match
+	// ID identifies the exchange, and IDHeader is the header in which the response states
+	// it. A response that states none is accepted only as the first one of a connection,
+	// which then carries no other request. If ID is empty, no response can state it.
+	ID, IDHeader string
 }
 
 // Response is the response to a request. Body must be closed.
@@ -92,11 +81,12 @@
 
 // Do sends a request once. The request is cancelled when ctx ends.
 func (c *Client) Do(ctx context.Context, r Request) (*Response, error) {
-	cn, err := c.pool.get(ctx, r.RequestID)
+	cn, err := c.pool.get(ctx, r.ID)
 	if err != nil {
 		return nil, errors.Mark(err, errUnsent)
 	}
-	x := &exchange{pool: c.pool, conn: cn, fresh: cn.begin(r.RequestID), written: make(chan error, 1)}
+	x := &exchange{pool: c.pool, conn: cn, fresh: cn.carried.empty(), written: make(chan error, 1)}
+	cn.carried.add(time.Now(), r.ID, deadlineOf(ctx))
 	// Closing the connection tells the backend server of the cancellation.
 	x.stop = context.AfterFunc(ctx, func() { _ = cn.Close() })
 	resp, err := x.run(ctx, r)
@@ -108,6 +98,12 @@
 	return &Response{Status: resp.StatusCode, Header: resp.Header, Body: &Body{exchange: x, resp: resp}}, nil
 }
 
+// deadlineOf returns the deadline of ctx; the zero time if it has none.
+func deadlineOf(ctx context.Context) time.Time {
+	deadline, _ := ctx.Deadline()
+	return deadline
+}
+
 // Ended reports whether the process of the backend server has ended: nothing listens at
 // its address. A connection that is accepted serves the next request.
 func (c *Client) Ended(ctx context.Context) bool {
--- a/core/exchanger/conn.go
+++ b/core/exchanger/conn.go
@@ -45,9 +45,8 @@
 	// r reads from source. Its buffer grows with long heads.
 	r *bufio.Reader
 	w *bufio.Writer
-	// carried holds the IDs of the last requests on the connection, the newest
-	// first; empty before the first one.
-	carried []string
+	// carried holds the requests that the connection has carried.
+	carried carried
 	// usableUntil is the time until which the connection may be reused. It is
 	// set while the connection is idle.
 	usableUntil time.Time
@@ -100,18 +99,6 @@
 	return errors.Wrap(c.writeErr, "connection broke before the end of the response")
 }
 
-// maxCarried bounds the number of request IDs that a connection remembers. A
-// second copy of an answer arrives within a few requests.
-const maxCarried = 8
-
-// begin records that a request is about to be sent. It reports whether the
-// connection has carried no other request before.
-func (c *conn) begin(id string) (fresh bool) {
-	fresh = len(c.carried) == 0
-	c.carried = append([]string{id}, c.carried[:min(len(c.carried), maxCarried-1)]...)
-	return fresh
-}
-
 // pool keeps idle connections to one address. It is safe for concurrent use.
 type pool struct {
 	cfg Config
@@ -144,12 +131,13 @@
 // takeIdle removes the most recently used idle connection, so that the others
 // reach their idle timeout. It leaves out connections that have carried the
 // request already: a late second copy of the earlier answer has the same ID as
-// the next one. It returns nil if there is none.
+// the next one. A request without an ID takes only one that has carried none. It
+// returns nil if there is none.
 func (p *pool) takeIdle(id string) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for i, c := range slices.Backward(p.idle) {
-		if !slices.Contains(c.carried, id) {
+		if !c.carried.ambiguous(id) {
 			p.idle = slices.Delete(p.idle, i, i+1)
 			return c
 		}
@@ -187,7 +175,7 @@
 	if serverTimeout > 0 {
 		keep = serverTimeout - idleMargin
 	}
-	if keep <= 0 || c.r.Buffered() > 0 || c.SetDeadline(time.Time{}) != nil {
+	if keep <= 0 || c.carried.full() || c.r.Buffered() > 0 || c.SetDeadline(time.Time{}) != nil {
 		_ = c.Close()
 		return
 	}
--- a/core/exchanger/response.go
+++ b/core/exchanger/response.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -26,6 +27,33 @@
 	writeGrace = time.Second
 )
 
+// match is what a response says about the request that it answers.
+type match int
+
+const (
+	matchYes     match = iota // It states that it answers the request.
+	matchFirst                // It states no request and is the first on its connection.
+	matchOther                // It answers another request.
+	matchUnclear              // It may answer either.
+)
+
+// matchResponse compares the IDs that a response states with that of the request. fresh is
+// true if the connection has carried no other request.
+func matchResponse(stated []string, id string, fresh bool) match {
+	switch {
+	case slices.ContainsFunc(stated, func(s string) bool { return s != stated[0] }):
+		return matchUnclear
+	case len(stated) > 0 && stated[0] != "":
+		if stated[0] == id {
+			return matchYes
+		}
+		return matchOther
+	case fresh:
+		return matchFirst
+	}
+	return matchUnclear
+}
+
 // response reads the response to the request and skips interim responses and responses
 // to earlier requests.
 func (x *exchange) response(r Request) (*http.Response, error) {
@@ -35,12 +63,15 @@
 			return nil, err
 		}
 		if resp.StatusCode >= http.StatusOK {
-			switch r.Match(resp.Header, x.fresh) {
-			case MatchYes:
+			switch matchResponse(resp.Header.Values(r.IDHeader), r.ID, x.fresh) {
+			case matchYes:
+				return resp, nil
+			case matchFirst:
+				resp.Close = true // A later response could be a copy of this one.
 				return resp, nil
-			case MatchUnclear:
+			case matchUnclear:
 				return nil, errors.New("response that may belong to an earlier request on the connection")
-			case MatchOther:
+			case matchOther:
 			}
 		}
 		n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxDiscardBytes))
@@ -100,34 +131,36 @@
 	}
 	b.ended = true
 	x := b.exchange
-	if !x.stop() || b.resp.Close {
+	if !x.stop() {
 		_ = x.conn.Close()
 		return
 	}
 	select {
 	case err := <-x.written:
-		x.release(err, b.resp.Header)
+		x.release(err, b.resp)
 	default:
-		go x.releaseLater(b.resp.Header)
+		go x.releaseLater(b.resp)
 	}
 }
 
-func (x *exchange) release(err error, header http.Header) {
-	if err != nil {
+// release returns a connection to the pool, or closes it if the request was not written
+// completely or no other may follow it. err is the error of writing the request.
+func (x *exchange) release(err error, resp *http.Response) {
+	if err != nil || resp.Close {
 		_ = x.conn.Close()
 		return
 	}
-	x.pool.put(x.conn, idleTimeout(header))
+	x.pool.put(x.conn, idleTimeout(resp.Header))
 }
 
 // releaseLater releases the connection of a request that was answered before it
 // was completely written.
-func (x *exchange) releaseLater(header http.Header) {
+func (x *exchange) releaseLater(resp *http.Response) {
 	timer := time.NewTimer(writeGrace)
 	defer timer.Stop()
 	select {
 	case err := <-x.written:
-		x.release(err, header)
+		x.release(err, resp)
 	case <-timer.C:
 		_ = x.conn.Close()
 	}
--- a/core/exchanger/tls_test.go
+++ b/core/exchanger/tls_test.go
@@ -36,7 +36,7 @@
 		resp, err := client.Do(t.Context(), Request{
 			Call:   connector.Call{Method: http.MethodPost, Path: "/", Body: []byte("body")},
 			Header: http.Header{"Host": {"example.com"}}, DeadlineHeader: "X-Left",
-			Match: func(http.Header, bool) Match { return MatchYes },
+			ID: "1", IDHeader: "X-Id",
 		})
 		if err == nil {
 			b, _ := io.ReadAll(resp.Body)
--- a/crocusd/internal/handler/backend.go
+++ b/crocusd/internal/handler/backend.go
@@ -20,9 +20,13 @@
 
 // Headers between the gate and its backend server.
 const (
-	HeaderParent   = "Crocus-Parent"
-	HeaderTimeout  = "Crocus-Timeout-Ms"
-	HeaderRequest  = "Crocus-Request"
+	HeaderParent  = "Crocus-Parent"
+	HeaderTimeout = "Crocus-Timeout-Ms"
+	HeaderRequest = "Crocus-Request"
+	// HeaderExchange identifies one exchange with the backend server, which states it in
+	// the response. A response that states none, as that of a server of an earlier version,
+	// is accepted only as the first one of a connection, which then carries no other request.
+	HeaderExchange = "Crocus-Exchange"
 	HeaderOutcome  = "Crocus-Outcome"
 	HeaderDraining = "Crocus-Draining"
 	// HeaderRateLimit is the number of requests a second, as a decimal number,
@@ -62,10 +66,9 @@
 	if !connector.ValidTarget(c.Path) {
 		return connector.NotRun{Reason: resolver.ReasonBadRequest}
 	}
+	id := newSpanID()
 	resp, err := b.client.Do(ctx, exchanger.Request{
-		Call: c, Header: b.requestHeader(c), DeadlineHeader: HeaderTimeout,
-		// Responses state no request, and connections carry one at a time.
-		Match: func(http.Header, bool) exchanger.Match { return exchanger.MatchYes },
+		Call: c, Header: b.requestHeader(c, id), DeadlineHeader: HeaderTimeout, ID: id, IDHeader: HeaderExchange,
 	})
 	if err != nil {
 		return exchanger.Failure(ctx, err)
@@ -81,14 +84,15 @@
 // Ended implements connector.Backend.
 func (b *httpBackend) Ended(ctx context.Context) bool { return b.client.Ended(ctx) }
 
-func (b *httpBackend) requestHeader(c connector.Call) http.Header {
-	header := make(http.Header, len(c.Headers)+5)
+func (b *httpBackend) requestHeader(c connector.Call, exchange string) http.Header {
+	header := make(http.Header, len(c.Headers)+6)
 	for _, h := range c.Headers {
 		header[h.GetName()] = append(header[h.GetName()], h.Strings()...)
 	}
 	header["Host"] = []string{b.host}
 	header[HeaderParent] = []string{c.Parent}
 	header[HeaderRequest] = []string{c.RequestID}
+	header[HeaderExchange] = []string{exchange}
 	header[headerTrace] = []string{"00-" + c.Trace + "-" + c.Parent + "-01"}
 	return header
 }
--- a/crocusfake/internal/prover/broken_test.go
+++ b/crocusfake/internal/prover/broken_test.go
@@ -67,20 +67,23 @@
 	return f, server
 }
 
-// post sends a request through the first node and describes its answer: its status with
-// the length of the body, or "broken off".
-func (f *fleet) post(body []byte) string {
+// post sends a request through the first node as postTo does.
+func (f *fleet) post(body []byte) string { return f.postTo(f.nodes[0], "/images/1", body) }
+
+// postTo sends a request for a path of the archive through a node and describes its
+// answer: its status with the length of the body, or "broken off".
+func (f *fleet) postTo(n *node, path string, body []byte) string {
 	client := http.Client{Timeout: 2 * longTimeout, Transport: &http.Transport{DisableKeepAlives: true}}
-	resp, err := client.Post("http://"+f.nodes[0].entry+"/archive/images/1", "application/octet-stream", bytes.NewReader(body))
+	resp, err := client.Post("http://"+n.entry+"/archive"+path, "application/octet-stream", bytes.NewReader(body))
 	if err != nil {
 		return "no answer"
 	}
 	defer func() { _ = resp.Body.Close() }()
-	n, err := io.Copy(io.Discard, resp.Body)
+	length, err := io.Copy(io.Discard, resp.Body)
 	if err != nil {
 		return "broken off"
 	}
-	return fmt.Sprintf("%d %s, %d bytes", resp.StatusCode, resp.Header.Get("Crocus-Outcome"), n)
+	return fmt.Sprintf("%d %s, %d bytes", resp.StatusCode, resp.Header.Get("Crocus-Outcome"), length)
 }
 
 // unknown is what post returns if the answer of the backend server was refused.
--- a/crocusfake/internal/worker/worker.go
+++ b/crocusfake/internal/worker/worker.go
@@ -165,6 +165,7 @@
 
 func (w *Worker) serve(rw http.ResponseWriter, r *http.Request) {
 	w.ledger.recordArrival(r.Header.Get(HeaderKey), r.Header.Get(HeaderTry))
+	rw.Header().Set("Crocus-Exchange", r.Header.Get("Crocus-Exchange"))
 	// net/http detects a closed connection only after the body was read.
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
