prober: a health response counts only when it is whole

Cause: the check of the health endpoint decoded the first JSON value of the body and didn't look for its end. A node took its backend server out of use for good because of a response that had broken off.

Why it works: the body is read to its end, which a length or the last chunk proves, before anything in it counts.

--- a/crocusd/internal/prober/prober.go
+++ b/crocusd/internal/prober/prober.go
@@ -59,9 +59,10 @@
 		return false
 	}
 	defer func() { _ = resp.Body.Close() }()
-	var health struct{ State string }
-	if json.NewDecoder(io.LimitReader(resp.Body, maxHealthBytes)).Decode(&health) != nil {
-		return false
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxHealthBytes))
+	if err != nil {
+		return false // The end of the response is missing.
 	}
-	return health.State == "Draining"
+	var health struct{ State string }
+	return json.Unmarshal(body, &health) == nil && health.State == "Draining"
 }
--- a/crocusfake/internal/prover/broken_test.go
+++ b/crocusfake/internal/prover/broken_test.go
@@ -170,3 +170,47 @@
 		})
 	}
 }
+
+// TestP3HeadThatStops guards against an answer whose head, interim head, chunks or trailer
+// stop midway and that reaches the caller framed as a whole one. It is cut at every byte.
+func TestP3HeadThatStops(t *testing.T) {
+	f, server := startScripted(t)
+	for _, c := range []struct {
+		name, answer string
+		// body is the number of bytes at the end that may be missing, since only the end of
+		// the connection ends the body.
+		body int
+	}{
+		{"length", "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole", 0},
+		{"interim head and chunks with a trailer", "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\nX-A: b\r\n\r\n", 0},
+		{"until the end", "HTTP/1.1 200 OK\r\nX-A: b\r\n\r\nwhole", len("whole")},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			got, want := make(map[string]int), map[string]int{"whole: 200 Ran, 5 bytes": 2}
+			for n := 0; n <= len(c.answer); n++ {
+				if n < len(c.answer) && n >= len(c.answer)-c.body {
+					continue
+				}
+				for _, end := range []script{func(*net.TCPConn, io.Reader) {}, func(c *net.TCPConn, _ io.Reader) { _ = c.SetLinger(0) }} {
+					server.set(func(cn *net.TCPConn, rest io.Reader) {
+						_, _ = io.WriteString(cn, c.answer[:n])
+						if n == len(c.answer) {
+							return
+						}
+						end(cn, rest)
+					})
+					answer := f.postTo(f.nodes[n%2], "/images/1", nil)
+					switch {
+					case n == len(c.answer):
+						got["whole: "+answer]++
+					case strings.HasPrefix(answer, "200"):
+						got[fmt.Sprintf("%d of %d bytes: %s", n, len(c.answer), answer)]++
+					}
+				}
+			}
+			if d := cmp.Diff(want, got); d != "" {
+				t.Errorf("-want +got:\n%s", d)
+			}
+		})
+	}
+}
