forwarder: a node is used only for the service that it states

In the list of instances of the project's own interface, an entry with the address of a node of another service makes that node's server run the requests: callers get its 404 as the answer.

Cause: entries are keyed by service and address, and a gate runs what reaches it. On the users' platform a request names the instance that may run it; the project's own list names none.

Why it works: a node states its service when a link opens. If that is another one, nothing is sent, and the node is avoided for the service in question alone, as an unreachable one is.

--- a/core/router/router.go
+++ b/core/router/router.go
@@ -118,6 +118,16 @@
 	}
 }
 
+// MarkMisplaced records that the node at an address is not beside a server of the service
+// for which it is listed. It is avoided as an unreachable one for this service alone.
+func (r *Router) MarkMisplaced(now time.Duration, name, address string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if st := r.find(name, address); st != nil {
+		st.markUnreachable(now)
+	}
+}
+
 func (r *Router) setLeaving(now time.Duration, address string, until time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/crocusd/internal/forwarder/attempt.go
+++ b/crocusd/internal/forwarder/attempt.go
@@ -44,6 +44,10 @@
 		}
 		return resolver.NothingWritten{Reason: resolver.ReasonNoLink}
 	}
+	if p.f.cfg.CheckService && l.Peer().GetIncarnation().GetService() != p.q.Service {
+		p.f.router.MarkMisplaced(p.f.clock.Now(), p.q.Service, t.upstream.Address)
+		return resolver.NothingWritten{Reason: resolver.ReasonWrongIncarnation}
+	}
 	if p.q.Ticket != nil && l.Peer().GetIncarnation().GetBootId() != p.q.Ticket.Home.BootID {
 		return t.foreignTicket()
 	}
@@ -111,6 +115,9 @@
 		res.Failed = e.Status >= 500
 	case resolver.AnswerNotRun:
 		res.Refused = true
+		if e.Reason == resolver.ReasonInstanceReplaced && p.f.cfg.OnOtherInstance != nil {
+			p.f.cfg.OnOtherInstance(t.upstream.Address, t.upstream.Instance)
+		}
 		res.RateLimited = e.Reason == resolver.ReasonRateLimited
 		t.rateLimited = res.RateLimited
 		res.Failed = e.Reason == resolver.ReasonBackendRefused || e.Reason == resolver.ReasonBackendUnreachable
--- a/crocusd/internal/forwarder/forwarder.go
+++ b/crocusd/internal/forwarder/forwarder.go
@@ -36,6 +36,13 @@
 	// OnPosition is called with the position of the store that a peer reports to
 	// have read. It may be nil.
 	OnPosition func(connector.Position)
+	// CheckService makes the forwarder send requests only to nodes that state the service of
+	// the request as their own. It is for lists of upstreams that name no instances, by which
+	// a server could tell that a request is not for it.
+	CheckService bool
+	// OnOtherInstance is called when the backend server beside an upstream has refused a
+	// request because it is not the instance that the request was for. It may be nil.
+	OnOtherInstance func(address, instance string)
 	// OnEvidence is called with the evidence that a peer stated in the answer to a
 	// request sent at a time since boot. It may be nil.
 	OnEvidence func(sent time.Duration, ld *encoder.Load)
--- a/crocusd/internal/runner/runner.go
+++ b/crocusd/internal/runner/runner.go
@@ -121,7 +121,7 @@
 	}, backend, n.self, n.clock, runs, calls, n.levels, n.rec)
 	n.forward = forwarder.New(forwarder.Config{
 		HoldAnswerBytes: int(cfg.Limits.HoldAnswerBytes), TicketLifetime: cfg.Limits.TicketLifetime,
-		PassThrough: passThrough, FindUpstreams: n.findUpstreams, Suspects: suspects,
+		PassThrough: passThrough, CheckService: true, FindUpstreams: n.findUpstreams, Suspects: suspects,
 	}, n.self.BootID, n.clock, n.links, n.router, n.levels, calls, n.rec)
 	n.server = server.New(server.Config{
 		Service: cfg.Node.Service, MaxBodyBytes: int64(cfg.Limits.MaxBodyBytes), BufferBytes: int64(cfg.Limits.BufferBytes),
