arbiter: the server says which entry of the store is its own

An entry that could be a server's in every field, at the address of another one, takes its place: no node sends that server anything for as long as the entry stays, although the server refuses each request as meant for another.

Cause: of the entries of named services at one address the newest one counted without end, whatever the server said. Draining ones counted too, and the entry for another service took the address from its own.

Evidence: TestStrangerAtServer, three real nodes, a stranger at the address of one of two servers that differs in service, domain, slots, state or port, or in nothing, that comes before its service is named, is written again, goes, and is there when the nodes start. On all 7 cases fail: the server got none of some 2,600 requests through each node. After: 7 of 7, and all of them at once in the list of nodes that start. A property-based test in core/arbiter writes arbitrary entries beside a server's own.

Why it works: entries for different services don't compete. Of those for one service the newest one counts, as before, until the server has refused a request for it (421, not run); a draining one yields to one that is in use. Each node decides from its own requests. If all are refused, the evidence is from before the server was replaced and is dropped. Homes of rate limits must be the same at all nodes and still depend on the view alone. Entries that are left out have a log line and the gauge Members.LeftOut.

--- a/crocusd/internal/composer/composer.go
+++ b/crocusd/internal/composer/composer.go
@@ -17,6 +17,7 @@
 	"github.com/go-logr/logr"
 
 	"crocustack/core/admitter"
+	"crocustack/core/arbiter"
 	"crocustack/core/authenticator"
 	"crocustack/core/bodyreader"
 	"crocustack/core/configurer"
@@ -137,6 +138,10 @@
 	service atomic.Pointer[string]
 	// regions maps the failure domains in the settings to their regions.
 	regions map[string]string
+	// arbiter decides which entries of the store count for each machine. leftOut holds the
+	// others in the view in force.
+	arbiter *arbiter.Arbiter
+	leftOut atomic.Pointer[[]connector.Member]
 	// outboundGauges holds the services with a gauge of their own. Only readStore uses it.
 	outboundGauges map[string]bool
 	// maxClients bounds the connections of clients.
@@ -167,7 +172,7 @@
 		cfg: cfg, log: program, flushLog: lines.Close, clock: timekeeper.NewClock(),
 		self:     gatekeeper.Incarnation{Service: cfg.Node.Service, Address: cfg.Node.Link, BootID: gatekeeper.NewBootID()},
 		linkPort: port, backendHost: host, regions: regionsOf(cfg.Platform.Regions), peerPosition: newPeerPosition(),
-		outboundGauges: make(map[string]bool), refresh: make(chan struct{}, 1),
+		arbiter: arbiter.New(), outboundGauges: make(map[string]bool), refresh: make(chan struct{}, 1),
 		maxClients: int(clientDescriptorShare * float64(descriptors(cfg.Limits.Descriptors))),
 		store:      platform.NewStore(hostOf(cfg.Platform.URL)), backend: platform.NewBackend(hostOf(cfg.Backend.URL)),
 	}
@@ -184,6 +189,7 @@
 func (n *Node) compose() {
 	n.evidence = &authenticator.Evidence{}
 	n.registerEvidence()
+	n.registerLeftOut()
 	n.bodies = bodyreader.NewBudget(int64(bodyMemoryShare*n.memory()), int64(ordinaryBodyMemoryShare*n.memory()))
 	levels := admitter.NewLevels()
 	n.levels = levels
@@ -201,14 +207,16 @@
 		// The apportioner is created below, before any link is opened.
 		ServeTake:      func(m *encoder.Take) *encoder.TakeReply { return n.apportioner.Serve(m) },
 		PauseThreshold: n.cfg.Timing.PauseThreshold, RequestIDAsToken: true,
-		Admission: admitter.Config{Slots: 1, CapacityKnown: true},
-		Gate:      gatekeeper.Config{MaxRecords: maxRecords, MaxAnswerBytes: maxAnswerBytes, MaxBytesPerAnswer: holdAnswerBytes},
-		Suspects:  suspects,
+		Admission:       admitter.Config{Slots: 1, CapacityKnown: true},
+		Gate:            gatekeeper.Config{MaxRecords: maxRecords, MaxAnswerBytes: maxAnswerBytes, MaxBytesPerAnswer: holdAnswerBytes},
+		Suspects:        suspects,
+		OnOtherInstance: func(instance string) { n.refuteInstance(n.backendHost, instance) },
 	}, n.backend, n.self, n.clock, runs, calls, levels, n.rec)
 	n.apportioner = apportioner.New(n.apportionerConfig(), n.links, n.clock, n.rec.Registry())
 	n.forward = forwarder.New(forwarder.Config{
 		HoldAnswerBytes: holdAnswerBytes, MaxTransparentRetries: maxTransparentRetries, OnPosition: n.peerPosition.observe, OnEvidence: n.observeEvidence,
-		FindUpstreams: func(context.Context, string) bool { return false }, Suspects: suspects,
+		OnOtherInstance: func(address, instance string) { n.refuteInstance(hostOnly(address), instance) },
+		FindUpstreams:   func(context.Context, string) bool { return false }, Suspects: suspects,
 	}, n.self.BootID, n.clock, n.links, n.router, levels, calls, n.rec)
 	n.dispatch = dispatcher.New(n.forward, runs, n.rec, dispatcher.Keys{Proven: n.provenKeys, Limits: n.apportioner})
 	n.replicator = replicator.New(n.self.Address, suspects, n.links, n.clock, n.log, n.isolator)
--- a/crocusd/internal/composer/organisations.go
+++ b/crocusd/internal/composer/organisations.go
@@ -119,12 +119,13 @@
 }
 
 // applyOrganisations applies the organisations of a view and the homes of their limits.
-func (n *Node) applyOrganisations(v observer.View, byHost map[string]connector.Member) {
+// All nodes must choose the same homes, so the choice depends on the view alone.
+func (n *Node) applyOrganisations(v observer.View) {
 	if !v.Config.Keyed {
 		return
 	}
 	byDomain := make(map[string][]string)
-	for host, m := range byHost {
+	for host, m := range newestByHost(namedMembers(v)) {
 		if !m.Draining {
 			byDomain[m.Domain] = append(byDomain[m.Domain], net.JoinHostPort(host, n.linkPort))
 		}
--- a/crocusd/internal/composer/storereader.go
+++ b/crocusd/internal/composer/storereader.go
@@ -216,16 +216,16 @@
 	f.position, f.listed = cs.Position, true
 	f.n.handler.SetPosition(cs.Position)
 	f.n.read.Store(&cs.Position)
-	if f.tracker.Expire(now) || changed {
+	if f.tracker.Expire(now) || changed || f.n.arbiter.Changed() {
 		f.apply(now)
 	}
 }
 
 // expire applies the view again when the grace period of a missing entry is
-// over.
+// over, or when another entry counts for a machine.
 func (f *storeReader) expire() {
 	now := f.n.clock.Now()
-	if f.tracker.Expire(now) {
+	if f.tracker.Expire(now) || f.n.arbiter.Changed() {
 		f.apply(now)
 	}
 }
@@ -243,10 +243,9 @@
 		return
 	}
 	n.log.Info("view in force", "Config", v.Config.Version, "Members", len(v.Members), "Era", position.Era, "Revision", position.Revision)
-	byHost := newestByHost(v.Members)
-	n.replicator.SetMembers(n.linkAddresses(byHost))
-	servers := newestByHost(namedMembers(v))
-	own := max(n.countGates(v), 1)
+	n.replicator.SetMembers(n.linkAddresses(v.Members))
+	servers := n.chooseServers(v)
+	own := max(n.countGates(servers), 1)
 	services := make(map[string]releaser.Service, len(v.Config.Services))
 	for name := range v.Config.Services {
 		services[name] = releaser.Service{Name: name, RetryRatio: n.bounds.Load().RetryRatio}
@@ -258,7 +257,7 @@
 	n.forward.SetServices(services)
 	n.handler.SetRetryBudget(b.RetryRatio*gateRetryShare, b.RetrySlack/float64(own), b.RetryWindow)
 	n.setSlots(servers)
-	n.applyOrganisations(v, servers)
+	n.applyOrganisations(v)
 	n.dispatch.SetConfig(v.Config)
 }
 
@@ -275,13 +274,19 @@
 	n.rec.Registry().GetOrRegister("Outbound."+service, metrics.NewFunctionalGaugeFloat64(func() float64 { return n.router.OutboundShare(service) }))
 }
 
-// linkAddresses returns the link addresses of the nodes beside all members.
-func (n *Node) linkAddresses(byHost map[string]connector.Member) []string {
-	addresses := make([]string, 0, len(byHost))
-	for host := range byHost {
-		addresses = append(addresses, net.JoinHostPort(host, n.linkPort))
+// linkAddress returns the link address of the node beside a member.
+func (n *Node) linkAddress(m connector.Member) string {
+	return net.JoinHostPort(hostOnly(m.Address), n.linkPort)
+}
+
+// linkAddresses returns the link addresses of the nodes beside all members, each once.
+func (n *Node) linkAddresses(members []connector.Member) []string {
+	addresses := make([]string, 0, len(members))
+	for _, m := range members {
+		addresses = append(addresses, n.linkAddress(m))
 	}
-	return addresses
+	slices.Sort(addresses)
+	return slices.Compact(addresses)
 }
 
 // gateRetryShare is the fraction of the agreed retry ratio that each gate uses.
@@ -290,11 +295,11 @@
 const gateRetryShare = 0.9
 
 // countGates returns the number of gates of the local backend server's service:
-// one per member. They share the retry slack.
-func (n *Node) countGates(v observer.View) int {
+// one per server. They share the retry slack.
+func (n *Node) countGates(servers []connector.Member) int {
 	own := *n.service.Load()
 	count := 0
-	for _, m := range v.Members {
+	for _, m := range servers {
 		if m.Service == own {
 			count++
 		}
@@ -302,42 +307,16 @@
 	return count
 }
 
-// namedMembers returns the members whose services the configuration names. Entries of
-// others, such as an agent on the machine of a backend server, must not take the place of
-// the server's own.
-func namedMembers(v observer.View) []connector.Member {
-	return slices.DeleteFunc(slices.Clone(v.Members), func(m connector.Member) bool {
-		_, named := v.Config.Services[m.Service]
-		return !named
-	})
-}
-
-// newestByHost returns the member on each machine, keyed by host. When the
-// entries of several runs name the same machine, the one written last is returned.
-func newestByHost(members []connector.Member) map[string]connector.Member {
-	byHost := make(map[string]connector.Member, len(members))
-	for _, m := range members {
-		host, _, err := net.SplitHostPort(m.Address)
-		if err != nil {
-			continue // The adapter passes on only valid addresses.
-		}
-		if old, ok := byHost[host]; !ok || !m.Written.Before(old.Written) {
-			byHost[host] = m
-		}
-	}
-	return byHost
-}
-
 // upstreams returns the members of a service that are not draining, sorted by
 // address.
-func (n *Node) upstreams(byHost map[string]connector.Member, service string) []router.Upstream {
+func (n *Node) upstreams(servers []connector.Member, service string) []router.Upstream {
 	var us []router.Upstream
-	for host, m := range byHost {
+	for _, m := range servers {
 		if m.Draining || m.Service != service {
 			continue
 		}
 		us = append(us, router.Upstream{
-			Service: service, Address: net.JoinHostPort(host, n.linkPort), Domain: m.Domain,
+			Service: service, Address: n.linkAddress(m), Domain: m.Domain,
 			Region: cmp.Or(n.regions[m.Domain], n.cfg.Node.Region), Instance: m.Instance, StartMillis: m.StartMillis,
 		})
 	}
@@ -346,8 +325,11 @@
 }
 
 // setSlots applies the number of slots that the local backend server states.
-func (n *Node) setSlots(byHost map[string]connector.Member) {
-	if m, ok := byHost[n.backendHost]; ok && !m.Draining {
-		n.handler.SetLimits(m.Slots, 0, 0)
+func (n *Node) setSlots(servers []connector.Member) {
+	own := *n.service.Load()
+	for _, m := range servers {
+		if m.Service == own && !m.Draining && hostOnly(m.Address) == n.backendHost {
+			n.handler.SetLimits(m.Slots, 0, 0)
+		}
 	}
 }
--- a/crocusd/internal/handler/handler.go
+++ b/crocusd/internal/handler/handler.go
@@ -35,6 +35,9 @@
 	Gate             gatekeeper.Config
 	// ServeTake answers a request for tokens of a rate limit; nil if there are none.
 	ServeTake func(*encoder.Take) *encoder.TakeReply
+	// OnOtherInstance is called when the backend server has refused a request because it is
+	// not the instance that the request was for. It may be nil.
+	OnOtherInstance func(instance string)
 	// Evidence is stated in answers; nil for none.
 	Evidence *authenticator.Evidence
 	// Bodies bounds the bodies of runs that are held; nil for no bound. Long bodies
--- a/crocusd/internal/handler/serverstate.go
+++ b/crocusd/internal/handler/serverstate.go
@@ -7,6 +7,7 @@
 	"crocustack/core/connector"
 	"crocustack/core/encoder"
 	"crocustack/core/recorder"
+	"crocustack/core/resolver"
 )
 
 // observedState is the state that the backend server stated last.
@@ -33,7 +34,7 @@
 	}
 }
 
-// observeState applies what the backend server states in the reply to a request
+// observeState applies what the backend server shows of itself in the reply to a request
 // that was sent at the given time.
 func (h *Handler) observeState(m *encoder.Run, sent time.Duration, reply connector.Reply) {
 	var state connector.ServerState
@@ -41,6 +42,9 @@
 	case connector.Answered:
 		state = r.State
 	case connector.NotRun:
+		if r.Reason == resolver.ReasonInstanceReplaced && h.cfg.OnOtherInstance != nil {
+			h.cfg.OnOtherInstance(m.GetInstance())
+		}
 		state = r.State
 		if state == (connector.ServerState{}) {
 			return // Not every refusal comes from the backend server.
