handler: a trial speaks against a request only if the server ended

A harmless request that all clients send is on probation then; its two trials run out of time on servers that have just started and are slow, and it is quarantined for good: none of some 7,100 is served 20 s after the servers are back.

Cause: a trial that did not complete counted as one under which the server ended, also if its time was over or its caller had left. Copies that had waited for a failed trial began the next one at once, with too little time.

TestSlowTrialsAreRepeated is new. TestTrialsAreLimited let a trial count whose server had not ended, which is the fault; it now ends the server in three ways (broken connection, listener that closes later, sender that has left), each of which must count.

Why it works: a run that ended its server is found by the broken connection and the closed listener, at once, 300 ms later or with the next request.

--- a/crocusd/internal/handler/serverend.go
+++ b/crocusd/internal/handler/serverend.go
@@ -51,6 +51,8 @@
 	m   *encoder.Run
 	key quarantiner.Key
 	at  time.Duration
+	// trial is the id of the run among all nodes if it was a trial; 0 otherwise.
+	trial uint64
 }
 
 const (
@@ -83,16 +85,27 @@
 
 // observeBroken handles a connection to the backend server that broke while it may
 // have been running a request.
-func (h *Handler) observeBroken(m *encoder.Run, key quarantiner.Key) {
-	broke := h.clock.Now()
+func (h *Handler) observeBroken(r openRun) {
 	if !h.backend.Ended(context.Background()) {
 		// A process that ends may close a connection before its listener.
-		h.ends.remember(openRun{m, key, broke})
+		h.ends.remember(r)
 		return
 	}
-	end := h.ends.at(broke)
-	h.recordEnd(m, key, end)
-	h.recordOpen(h.ends.takeOpen(broke), end)
+	end := h.ends.at(r.at)
+	h.recordEnd(r, end)
+	h.recordOpen(h.ends.takeOpen(r.at), end)
+}
+
+// recheckDelay is how long after the connection of a trial broke the server is looked for
+// again: its listener may have closed after the connection.
+const recheckDelay = 300 * time.Millisecond
+
+// recheckEnd looks for the end of the server that explains runs which were left open.
+func (h *Handler) recheckEnd() {
+	if h.backend.Ended(context.Background()) {
+		now := h.clock.Now()
+		h.recordOpen(h.ends.takeOpen(now), h.ends.at(now))
+	}
 }
 
 // observeUnreachable handles a backend server to which no connection could be
@@ -108,12 +121,16 @@
 // recordOpen records an end against runs that were left open.
 func (h *Handler) recordOpen(runs []openRun, end uint64) {
 	for _, r := range runs {
-		h.recordEnd(r.m, r.key, end)
+		h.recordEnd(r, end)
 	}
 }
 
 // recordEnd records that the backend server ended while it was running a request.
-func (h *Handler) recordEnd(m *encoder.Run, key quarantiner.Key, end uint64) {
-	known := h.cfg.Suspects.RecordEnd(key, end)
-	h.record(m, recorder.KindEnd, nil, fmt.Sprintf("end %016x, request %s, %s", end, key.Fingerprint, known))
+func (h *Handler) recordEnd(r openRun, end uint64) {
+	known := h.cfg.Suspects.RecordEnd(r.key, end)
+	if r.trial != 0 {
+		known = h.cfg.Suspects.RecordTrial(r.key, r.trial)
+		h.record(r.m, recorder.KindTrial, nil, "the server ended: "+known.String())
+	}
+	h.record(r.m, recorder.KindEnd, nil, fmt.Sprintf("end %016x, request %s, %s", end, r.key.Fingerprint, known))
 }
--- a/crocusd/internal/handler/subject.go
+++ b/crocusd/internal/handler/subject.go
@@ -80,12 +80,17 @@
 	return resolver.ReasonNone
 }
 
-// startTrial waits until no other trial runs at this gate.
+// startTrial waits until no other trial runs at this gate. Soon after a trial of the
+// request that did not complete, none begins.
 func (u *subject) startTrial(ctx context.Context, gone <-chan struct{}) resolver.Reason {
 	timer := time.NewTimer(trialWait)
 	defer timer.Stop()
 	select {
 	case u.h.trial <- struct{}{}:
+		if u.h.pauses.active(u.h.clock.Now(), u.identity.Key()) {
+			<-u.h.trial
+			return resolver.ReasonOnProbation
+		}
 		u.trial = true
 		u.h.record(u.m, recorder.KindTrial, nil, "begins")
 		return resolver.ReasonNone
@@ -130,32 +135,45 @@
 // completed records that the backend server has run the request to its end.
 func (u *subject) completed() {
 	if u.h.cfg.Suspects.RecordCompletion(u.identity) {
+		u.h.pauses.end(u.identity.Key())
 		u.h.record(u.m, recorder.KindTrial, nil, "a run has completed; the request is cleared")
 	}
 }
 
 // abandoned records that the sender left while the backend server may have been
 // running the request.
-func (u *subject) abandoned() {
-	u.h.ends.remember(openRun{u.m, u.identity.Key(), u.h.clock.Now()})
-}
+func (u *subject) abandoned() { u.h.ends.remember(u.openRun()) }
 
 // incomplete records that the request may have run and was not answered. broken is
-// true if the connection to the backend server broke.
+// true if the connection to the backend server broke. A trial speaks against the request
+// only if the server is found ended: one that is slow, or whose caller has left, may have
+// run well.
 func (u *subject) incomplete(broken bool) {
 	if broken {
-		u.h.observeBroken(u.m, u.identity.Key())
+		u.h.observeBroken(u.openRun())
 	}
 	if u.trial {
-		known := u.h.cfg.Suspects.RecordTrial(u.identity.Key(), u.runID())
-		u.h.record(u.m, recorder.KindTrial, nil, "not completed: "+known.String())
+		if broken {
+			time.AfterFunc(recheckDelay, u.h.recheckEnd) // Another request may not come for long.
+		}
+		u.h.pauses.begin(u.h.clock.Now(), u.identity.Key())
+		u.h.record(u.m, recorder.KindTrial, nil, "not completed: "+u.h.cfg.Suspects.Find(u.identity).String())
+	}
+}
+
+// openRun returns the run as one that has not been answered.
+func (u *subject) openRun() openRun {
+	r := openRun{m: u.m, key: u.identity.Key(), at: u.h.clock.Now()}
+	if u.trial {
+		r.trial = u.runID()
 	}
+	return r
 }
 
-// runID returns the id of the run among all nodes.
+// runID returns the id of the run among all nodes; never 0.
 func (u *subject) runID() uint64 {
 	b := binary.BigEndian.AppendUint64(nil, u.m.GetId().GetSenderBootId())
-	return xxhash.Sum64(binary.BigEndian.AppendUint64(b, u.m.GetId().GetSequence()))
+	return max(xxhash.Sum64(binary.BigEndian.AppendUint64(b, u.m.GetId().GetSequence())), 1)
 }
 
 // suspicion returns what the node knows of the request, or nil if nothing speaks
--- a/crocusd/internal/handler/subject_test.go
+++ b/crocusd/internal/handler/subject_test.go
@@ -98,19 +98,66 @@
 // TestTrialsAreLimited guards against a request that ends servers for ever because
 // its trials are not counted, also where the gate does not know the verdict yet.
 func TestTrialsAreLimited(t *testing.T) {
+	for name, fail := range map[string]func(*subject, *fallibleBackend){
+		"broken connection": func(u *subject, b *fallibleBackend) {
+			b.ended.Store(true)
+			u.incomplete(true)
+		},
+		"connection that breaks before the listener closes": func(u *subject, b *fallibleBackend) {
+			u.incomplete(true)
+			b.ended.Store(true)
+			time.Sleep(2 * recheckDelay)
+		},
+		"the sender left": func(u *subject, b *fallibleBackend) {
+			u.abandoned()
+			u.incomplete(false)
+			b.ended.Store(true)
+			u.h.observeUnreachable()
+		},
+	} {
+		b := &fallibleBackend{}
+		h := newHandler(b)
+		ctx, gone := context.Background(), make(chan struct{})
+		var got []resolver.Reason
+		for n := range uint64(quarantiner.MaxTrials + 1) {
+			u := newSubject(h, "/", true)
+			u.m.Id.Sequence = n
+			got = append(got, u.admit(ctx, gone))
+			if u.trial {
+				fail(u, b)
+				h.pauses.end(u.identity.Key())
+			}
+			u.end()
+			b.ended.Store(false)
+		}
+		want := []resolver.Reason{resolver.ReasonNone, resolver.ReasonNone, resolver.ReasonQuarantined}
+		if d := cmp.Diff(want, got); d != "" {
+			t.Errorf("%s: -want +got:\n%s", name, d)
+		}
+	}
+}
+
+// TestSlowTrialsAreRepeated guards against a harmless request that is quarantined because
+// its trials ran out of time on a server that had just started, or their callers left; and
+// against trials that follow each other at once and keep the server from others.
+func TestSlowTrialsAreRepeated(t *testing.T) {
 	h := newHandler(&fallibleBackend{})
 	ctx, gone := context.Background(), make(chan struct{})
 	var got []resolver.Reason
-	for n := range uint64(quarantiner.MaxTrials + 1) {
+	for n := range uint64(2 * quarantiner.MaxTrials) {
 		u := newSubject(h, "/", true)
 		u.m.Id.Sequence = n
 		got = append(got, u.admit(ctx, gone))
 		if u.trial {
+			u.abandoned()
 			u.incomplete(false)
 		}
 		u.end()
+		if n%2 == 1 {
+			time.Sleep(minTrialPause)
+		}
 	}
-	want := []resolver.Reason{resolver.ReasonNone, resolver.ReasonNone, resolver.ReasonQuarantined}
+	want := []resolver.Reason{resolver.ReasonNone, resolver.ReasonOnProbation, resolver.ReasonNone, resolver.ReasonOnProbation}
 	if d := cmp.Diff(want, got); d != "" {
 		t.Errorf("-want +got:\n%s", d)
 	}
