composer: a node follows a store that is slow for each response

Cause: all pages of a list together had 0.7 s. A watch was given up once a peer had been ahead for 0.25 s, also if the store took longer than that for every response.

Evidence: TestStartBesideSlowStore: on no ready node within 15 s; now ready, and five configurations in a row are followed.

After a watch that was given up, the next one may lag twice as long, up to the time that a response may take; a response sets it back.

--- a/crocusd/internal/composer/peerposition.go
+++ b/crocusd/internal/composer/peerposition.go
@@ -10,7 +10,7 @@
 )
 
 // peerLagTolerance is how long a node may lag behind a peer in reading a change
-// of the store before it considers its own watch broken.
+// of the store before it considers its own watch broken, unless the store is slow.
 const peerLagTolerance = 250 * time.Millisecond
 
 // peerPosition tracks the latest position of the store that any peer has read. It
@@ -45,12 +45,12 @@
 	}
 }
 
-// waitBehind blocks until a peer has been ahead of the given position for
-// peerLagTolerance. It returns false when ctx is done first.
-func (w *peerPosition) waitBehind(ctx context.Context, p connector.Position) bool {
+// waitBehind blocks until a peer has been ahead of the given position for the given
+// time. It returns false when ctx is done first.
+func (w *peerPosition) waitBehind(ctx context.Context, p connector.Position, tolerance time.Duration) bool {
 	for {
 		if p.Before(w.highest()) {
-			timekeeper.Sleep(ctx, peerLagTolerance)
+			timekeeper.Sleep(ctx, tolerance)
 			return ctx.Err() == nil
 		}
 		select {
--- a/crocusd/internal/composer/peerposition_test.go
+++ b/crocusd/internal/composer/peerposition_test.go
@@ -20,7 +20,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	got := make(chan bool, 1)
-	go func() { got <- w.waitBehind(ctx, at(1, 5)) }()
+	go func() { got <- w.waitBehind(ctx, at(1, 5), peerLagTolerance) }()
 	w.observe(at(1, 6))
 	select {
 	case behind := <-got:
@@ -30,10 +30,10 @@
 	case <-time.After(10 * time.Second):
 		t.Fatal("a peer's newer revision was not detected within 10s")
 	}
-	if w.waitBehind(ended(), at(1, 6)) {
+	if w.waitBehind(ended(), at(1, 6), peerLagTolerance) {
 		t.Error("behind although no peer has read a newer revision")
 	}
-	if w.waitBehind(ended(), at(1, 5)) {
+	if w.waitBehind(ended(), at(1, 5), peerLagTolerance) {
 		t.Error("behind although the watch ended before the delay")
 	}
 }
@@ -44,7 +44,7 @@
 func TestEarlierEraIsNotAhead(t *testing.T) {
 	w := newPeerPosition()
 	w.observe(at(1, 22))
-	if w.waitBehind(ended(), at(2, 20)) {
+	if w.waitBehind(ended(), at(2, 20), peerLagTolerance) {
 		t.Error("behind a revision of the era before")
 	}
 	w.observe(at(2, 20))
@@ -52,7 +52,7 @@
 	if d := cmp.Diff(at(2, 20), w.highest()); d != "" {
 		t.Errorf("-want +got:\n%s", d)
 	}
-	if !w.waitBehind(context.Background(), at(1, 30)) {
+	if !w.waitBehind(context.Background(), at(1, 30), peerLagTolerance) {
 		t.Error("not behind although a peer has read the restored store")
 	}
 }
--- a/crocusd/internal/composer/restart_test.go
+++ b/crocusd/internal/composer/restart_test.go
@@ -42,3 +42,25 @@
 		}
 	}
 }
+
+// TestStartBesideSlowStore guards against a node that never becomes ready, or no longer
+// follows the store, because the store takes longer for a list of many servers than a
+// single response may take, or longer for each response than a node may lag behind.
+func TestStartBesideSlowStore(t *testing.T) {
+	f := newFleet(t, "s", "s")
+	const servers, page, delay = 150, 25, 260 * time.Millisecond
+	for i := range servers {
+		f.store.Register(connector.Member{
+			Instance: fmt.Sprint("many-", i), Service: "other", Address: fmt.Sprintf("127.0.78.%d:80", i+1), Domain: "d", Slots: 1, StartMillis: 1,
+		})
+	}
+	f.store.SetSlow(page, delay)
+	entry := f.machines[0]
+	entry.stop()
+	<-entry.ended
+	f.start(entry)
+	f.eventually("ready node", func() bool { return standin.Ready(net.JoinHostPort(entry.address, f.ready)) })
+	for i := range 5 {
+		f.followed(t, fmt.Sprint("slow-", i))
+	}
+}
--- a/crocusd/internal/composer/storereader.go
+++ b/crocusd/internal/composer/storereader.go
@@ -31,6 +31,8 @@
 	// storeTimeout is how long a response of the store may take beyond the wait of
 	// the watch.
 	storeTimeout = 700 * time.Millisecond
+	// listTimeout bounds a list of many pages from a store that is slow.
+	listTimeout = 15 * time.Second
 	// Failed reads are retried with exponential backoff from minBackoff up to
 	// maxBackoff, with jitter.
 	minBackoff = 100 * time.Millisecond
@@ -46,7 +48,7 @@
 
 // readStore reads the store and applies its state until ctx is done.
 func (n *Node) readStore(ctx context.Context) {
-	f := storeReader{n: n, tracker: observer.New()}
+	f := storeReader{n: n, tracker: observer.New(), lagTolerance: peerLagTolerance}
 	var debounce debouncer
 	failures := 0
 	for ctx.Err() == nil {
@@ -77,6 +79,8 @@
 	listed bool
 	// lost is true while the store is unreachable.
 	lost bool
+	// lagTolerance is how long the next watch may lag behind a peer.
+	lagTolerance time.Duration
 	// asked is true if the next read must not wait.
 	asked bool
 	// members is the number of members in the view that was last applied.
@@ -100,13 +104,18 @@
 		wait = 0 // Only checks whether the store responds, or has changed.
 	}
 	f.asked = false
-	ctx, cancel := context.WithTimeout(ctx, wait+storeTimeout)
+	timeout := wait + storeTimeout
+	if !f.listed {
+		timeout = listTimeout
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	ctx, abandon := context.WithCancelCause(ctx)
 	defer abandon(nil)
 	if position := f.position; f.listed {
+		tolerance := f.lagTolerance
 		go func() {
-			if f.n.peerPosition.waitBehind(ctx, position) {
+			if f.n.peerPosition.waitBehind(ctx, position, tolerance) {
 				abandon(errBehind)
 			}
 		}()
@@ -139,6 +148,7 @@
 		f.n.storeLost.Store(false)
 		f.n.log.Info("store regained", "Era", cs.Position.Era, "Revision", cs.Position.Revision)
 	}
+	f.lagTolerance = peerLagTolerance
 	f.applyChanges(now, cs)
 	f.recordEvidence(sent, cs)
 	return true
@@ -181,12 +191,14 @@
 			// restored store holds other changes.
 			f.listed = false
 		}
+		// The store may take longer than that for each response.
+		f.lagTolerance = min(2*f.lagTolerance, storeTimeout)
 		// A store that returns this node less than it returned a peer is read no
 		// more often than after a failure.
 		f.tracker.RecordFailure(now)
 		return false
 	}
-	if ctx.Err() != nil {
+	if ctx.Err() != nil || errors.Is(err, context.DeadlineExceeded) {
 		// The read got no response: the store may have been unreachable since it
 		// began.
 		now = began
