--- a/crocusd/internal/handler/handler.go
+++ b/crocusd/internal/handler/handler.go
@@ -80,7 +80,8 @@
 
 	ends serverEnds
 	// trial holds a value while a request on probation runs or waits for the server.
-	trial  chan struct{}
+	trial chan struct{}
+	// pauses keeps the trials of one request apart.
 	pauses trialPauses
 	// lock is held by all runs, and exclusively by a trial.
 	lock *runLock
