--- a/crocusd/internal/composer/refusal_test.go
+++ b/crocusd/internal/composer/refusal_test.go
@@ -43,7 +43,7 @@
 		_, _ = io.Copy(io.Discard, body)
 		fields := standin.AnswerFields(id)
 		if id == "" {
-			fields = "X-Response-Stamp: p\r\n"
+			fields = standin.StampField
 		}
 		if refuse {
 			refusal = strings.ReplaceAll(*s.head.Load(), "ID", id) + "Content-Length: 7\r\n\r\nrefused"
@@ -55,7 +55,7 @@
 		if err != nil {
 			return
 		}
-		body, id = req.Body, req.Header.Get("X-Attempt-Id")
+		body, id = req.Body, standin.RequestID(req)
 	}
 }
 
@@ -92,8 +92,8 @@
 		{"429", line(429) + standin.RefusalFields("ID"), false, http.StatusServiceUnavailable},
 		{"421", line(421) + standin.IDField("ID"), false, http.StatusServiceUnavailable},
 		{"400", line(400) + standin.RefusalFields("ID"), false, http.StatusServiceUnavailable},
-		{"503 that names no request", line(503) + "X-Not-Executed: 1\r\n", false, http.StatusBadGateway},
-		{"400 to a client without an id", line(400) + "X-Not-Executed: 1\r\n", true, http.StatusServiceUnavailable},
+		{"503 that names no request", line(503) + standin.RefusalField, false, http.StatusBadGateway},
+		{"400 to a client without an id", line(400) + standin.RefusalField, true, http.StatusServiceUnavailable},
 	} {
 		for way, repeat := range map[string]func(net.Conn, string){"once": once, "in two parts": inParts, "three times": thrice} {
 			for entry := range f.machines {
