--- a/crocusctl/internal/commander/golden_test.go
+++ b/crocusctl/internal/commander/golden_test.go
@@ -5,7 +5,6 @@
 	"context"
 	"flag"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -19,6 +18,7 @@
 	"github.com/google/go-cmp/cmp"
 
 	"crocustack/core/recorder"
+	"crocustack/core/truncator"
 )
 
 var update = flag.Bool("update", false, "rewrite the expected output and docs/OPERATIONS.md")
@@ -168,23 +168,6 @@
 // TestReplyThatStops guards against a part of a node's reply that is shown as its state. It
 // is cut at every byte.
 func TestReplyThatStops(t *testing.T) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer func() { _ = l.Close() }()
-	replies := make(chan string)
-	go func() {
-		for text := range replies {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			_, _ = c.Read(make([]byte, 4096))
-			_, _ = io.WriteString(c, text)
-			_ = c.Close()
-		}
-	}()
 	env := testEnvironment(&bytes.Buffer{}, &bytes.Buffer{})
 	o := NodeOptions{Timeout: time.Second}
 	for _, text := range []string{
@@ -192,13 +175,14 @@
 		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n0\r\n\r\n",
 		"HTTP/1.1 200 OK\r\nServer: node\r\n\r\n{}",
 	} {
-		for n := 1; n <= len(text); n++ {
-			replies <- text[:n]
-			got := fetch[struct{}](t.Context(), env, o, []string{l.Addr().String()}, "/status")[0]
+		err := truncator.Each(text, func(address string, n int) {
+			got := fetch[struct{}](t.Context(), env, o, []string{address}, "/status")[0]
 			if (got.err == nil) != (n == len(text)) {
 				t.Errorf("%d of %d bytes of %q: error %v", n, len(text), text, got.err)
 			}
+		})
+		if err != nil {
+			t.Fatal(err)
 		}
 	}
-	close(replies)
 }
