pipeliner: no request begins behind an answer whose end is not known

Cause: the flag that keeps further requests back was set only once the answer was written with nothing behind it. While it was held, and when it grew over 1 MiB with requests behind it, further ones could still begin.

Change: one function, stopAhead, sets the flag as soon as an answer of unknown length has its turn, and reports whether a request has begun behind it. An answer with a stated length is whole and is not affected.

--- a/crocusd/internal/pipeliner/conn.go
+++ b/crocusd/internal/pipeliner/conn.go
@@ -60,9 +60,9 @@
 	last *exchange
 	// outstanding is the number of requests that have begun and are not answered.
 	outstanding int
-	// streaming is true while an answer is written whose end is not known. No request begins
-	// behind it: it would lose its answer if that one broke off.
-	streaming bool
+	// aheadStopped is true while the end of the answer whose turn it is is not known. No
+	// request begins behind it: it could lose its answer if that one broke off.
+	aheadStopped bool
 	// noMore is true once no further request may begin.
 	noMore bool
 	phase  phase
@@ -253,7 +253,7 @@
 			c.mu.Unlock()
 			return nil, false
 		}
-		if c.outstanding == 0 || early && !c.heavy && !c.streaming && c.outstanding < maxAhead && c.s.roomAhead() {
+		if c.outstanding == 0 || early && !c.heavy && !c.aheadStopped && c.outstanding < maxAhead && c.s.roomAhead() {
 			x := newExchange(c, req, c.last, hold)
 			x.ahead = c.outstanding > 0
 			c.heavy = c.s.countRequest(&c.usage)
--- a/crocusd/internal/pipeliner/exchange.go
+++ b/crocusd/internal/pipeliner/exchange.go
@@ -123,7 +123,7 @@
 	c := x.c
 	c.mu.Lock()
 	c.outstanding--
-	c.streaming = false
+	c.aheadStopped = false
 	if c.phase == phaseIdle {
 		c.phaseSince = time.Now()
 	}
@@ -174,25 +174,26 @@
 	return len(b), x.writeBody(b)
 }
 
-// mustHold reports whether the beginning of the answer, of the given length, is better
-// held than written.
+// mustHold reports whether the beginning of the answer, of the given length, must be held
+// for now: before its turn, or because requests that have begun stand behind it and it may
+// still break off.
 func (x *exchange) mustHold(length int) bool {
 	if !x.mayWrite() {
 		return true
 	}
-	return length <= maxFollowedBytes && x.header.Get("Content-Length") == "" && x.c.stream(x)
+	if x.header.Get("Content-Length") != "" {
+		return false // The whole answer is at hand.
+	}
+	return x.c.stopAhead(x) && length <= maxFollowedBytes
 }
 
-// stream records that the answer to x is written before its end is known, so that no request
-// begins behind it. If one has begun already, stream reports true and records nothing.
-func (c *conn) stream(x *exchange) (followed bool) {
+// stopAhead lets no further request begin until x is answered, and reports whether one has
+// begun behind it already.
+func (c *conn) stopAhead(x *exchange) (followed bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.last != x {
-		return true
-	}
-	c.streaming = true
-	return false
+	c.aheadStopped = true
+	return c.last != x
 }
 
 // mayWrite reports whether all answers before this one are written.
