arbiter, composer: foreign entries in place of strangers

The usual term for entries of other writers. TestForeignEntryAtServer was TestStrangerAtServer, and TestForeignEntriesBesideServer was TestStrangersBesideAServer; their cases and bounds are the same.

--- a/core/arbiter/arbiter_test.go
+++ b/core/arbiter/arbiter_test.go
@@ -33,7 +33,7 @@
 	return out
 }
 
-// Guards against an entry of a stranger that takes the place of a server's own although
+// Guards against an entry of another writer that takes the place of a server's own although
 // the server contradicts it, and against a successor that gets nothing while the entry of
 // its predecessor still exists.
 func TestServerDecides(t *testing.T) {
@@ -62,14 +62,14 @@
 	}{
 		{"successor", server, newer, refute(), [2][]string{{"i-2"}, nil}},
 		{"successor of a server that has left", left, newer, refute(), [2][]string{{"i-2"}, nil}},
-		{"stranger", server, newer, refute("i-2"), [2][]string{{"i-1"}, nil}},
-		{"stranger that is refused again and again", server, newer, refute("i-2", "i-2"), [2][]string{{"i-1"}, nil}},
+		{"foreign entry", server, newer, refute("i-2"), [2][]string{{"i-1"}, nil}},
+		{"foreign entry that is refused again and again", server, newer, refute("i-2", "i-2"), [2][]string{{"i-1"}, nil}},
 		{"late refusal for the predecessor", server, newer, refute("i-1"), [2][]string{{"i-2"}, nil}},
 		{"refusals for both", server, newer, refute("i-2", "i-1"), [2][]string{{"i-2"}, nil}},
-		{"draining stranger", server, draining, refute(), [2][]string{{"i-1"}, nil}},
+		{"draining foreign entry", server, draining, refute(), [2][]string{{"i-1"}, nil}},
 		{"draining successor", server, draining, refute("i-1"), [2][]string{{"i-2"}, nil}},
 		{"another service, before any refusal", server, other, refute(), [2][]string{{"i-1"}, {"i-2"}}},
-		{"stranger of another service", server, other, refute("i-2"), [2][]string{{"i-1"}, nil}},
+		{"foreign entry for another service", server, other, refute("i-2"), [2][]string{{"i-1"}, nil}},
 		{"successor of another service", server, other, refute("i-1"), [2][]string{nil, {"i-2"}}},
 		{"new run of a refuted instance", server, restarted, func(a *Arbiter, _ []connector.Member) {
 			a.Choose([]connector.Member{server, newer})
@@ -112,19 +112,19 @@
 	}
 }
 
-// Guards against strangers that keep a server from its requests: arbitrary entries at its
-// address come, change and go. After one refusal for each run of a stranger at most, the
+// Guards against foreign entries that keep a server from its requests: arbitrary ones at
+// its address come, change and go. After one refusal for each run of one at most, the
 // server's own entry must count for its service, and no other entry may be left with
 // which requests fail.
-func TestStrangersBesideAServer(t *testing.T) {
+func TestForeignEntriesBesideServer(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		a := New()
 		server := member("i-server", 50)
-		strangers := make(map[string]connector.Member)
+		foreign := make(map[string]connector.Member)
 		refused := make(map[string]bool)
 		for range rapid.IntRange(1, 20).Draw(t, "steps") {
-			id := fmt.Sprint("i-", rapid.IntRange(0, 4).Draw(t, "stranger"))
-			delete(strangers, id)
+			id := fmt.Sprint("i-", rapid.IntRange(0, 4).Draw(t, "foreign entry"))
+			delete(foreign, id)
 			for run := range refused {
 				if strings.HasPrefix(run, id+" ") {
 					delete(refused, run) // An entry that has gone may come back as another's.
@@ -136,9 +136,9 @@
 				m.Domain = rapid.SampledFrom([]string{"d", "e"}).Draw(t, "domain")
 				m.Draining = rapid.Bool().Draw(t, "draining")
 				m.StartMillis = int64(rapid.IntRange(1, 2).Draw(t, "start"))
-				strangers[id] = m
+				foreign[id] = m
 			}
-			members := append(slices.Collect(maps.Values(strangers)), server)
+			members := append(slices.Collect(maps.Values(foreign)), server)
 			for again := true; again; {
 				again = false
 				for _, m := range a.Choose(members).Servers {
--- a/crocusd/internal/composer/oddentry_test.go
+++ b/crocusd/internal/composer/oddentry_test.go
@@ -79,18 +79,18 @@
 	f.followed(t, "listed")
 }
 
-// TestStrangerAtServer guards against a server that gets nothing because an entry that
+// TestForeignEntryAtServer guards against a server that gets nothing because an entry that
 // could be a server's in every field names its address: the newest entry counted, and the
 // server refused each request as meant for another one. Such entries are there when the
 // nodes start, come and go while they run, are written again and again, and wait for their
 // service to be added.
-func TestStrangerAtServer(t *testing.T) {
+func TestForeignEntryAtServer(t *testing.T) {
 	f := newFleet(t, "s", "s", "other")
 	for _, m := range f.machines {
 		m.backend.Latency = 10 * time.Millisecond
 	}
-	stranger := connector.Member{Service: "s", Address: net.JoinHostPort(f.machines[0].address, f.app), Domain: "d", Slots: 20, StartMillis: 5}
-	otherService, otherDomain, fewSlots, draining, otherPort, added := stranger, stranger, stranger, stranger, stranger, stranger
+	foreign := connector.Member{Service: "s", Address: net.JoinHostPort(f.machines[0].address, f.app), Domain: "d", Slots: 20, StartMillis: 5}
+	otherService, otherDomain, fewSlots, draining, otherPort, added := foreign, foreign, foreign, foreign, foreign, foreign
 	otherService.Service, otherDomain.Domain, fewSlots.Slots, draining.Draining = "other", "e", 1, true
 	otherPort.Address = net.JoinHostPort(f.machines[0].address, "9100")
 	added.Service = "added"
@@ -98,7 +98,7 @@
 		name   string
 		member connector.Member
 	}{
-		{"plain", stranger},
+		{"nothing else odd", foreign},
 		{"another service", otherService},
 		{"another domain", otherDomain},
 		{"fewer slots", fewSlots},
@@ -112,7 +112,7 @@
 	}
 	for i, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
-			id := fmt.Sprint("stranger-", i)
+			id := fmt.Sprint("foreign-", i)
 			write(c.member, id)
 			f.services = append(f.services, c.member.Service)
 			f.followed(t, "comes-"+fmt.Sprint(i))
