--- a/crocusfake/internal/prover/broken_test.go
+++ b/crocusfake/internal/prover/broken_test.go
@@ -55,16 +55,21 @@
 // server.
 func startScripted(t *testing.T) (*fleet, *scriptedServer) {
 	server := &scriptedServer{}
-	f := start(t, []string{"waw-a"},
+	return startDirect(t, server.wrap), server
+}
+
+// startDirect returns a fleet of two nodes: the entry, and one beside a server whose handler
+// wrap replaces. Its requests are not idempotent.
+func startDirect(t *testing.T, wrap func(int, http.Handler) http.Handler) *fleet {
+	return start(t, []string{"waw-a"},
 		service{name: "desk", instances: 1, slots: 16},
 		service{
-			name: "archive", instances: 1, slots: 64, wrap: server.wrap, direct: true,
+			name: "archive", instances: 1, slots: 64, wrap: wrap, direct: true,
 			kinds: []classifier.Kind{{
 				Name: "store-image", Service: "archive", Methods: []string{http.MethodPost}, PathPrefix: "/images", Class: classifier.ClassStandard,
 				Timeout: longTimeout, Allowance: allowance,
 			}},
 		})
-	return f, server
 }
 
 // post sends a request through the first node as postTo does.
--- a/crocusfake/internal/prover/refusal_test.go
+++ b/crocusfake/internal/prover/refusal_test.go
@@ -12,8 +12,6 @@
 	"time"
 
 	"github.com/google/go-cmp/cmp"
-
-	"crocustack/core/classifier"
 )
 
 // repeatingServer is a backend server that refuses the requests for refusedPath and
@@ -93,16 +91,7 @@
 func startRepeating(t *testing.T) (*fleet, *repeatingServer) {
 	server := &repeatingServer{}
 	server.reset(false, false, func(net.Conn, string) {})
-	f := start(t, []string{"waw-a"},
-		service{name: "desk", instances: 1, slots: 16},
-		service{
-			name: "archive", instances: 1, slots: 64, wrap: server.wrap, direct: true,
-			kinds: []classifier.Kind{{
-				Name: "store-image", Service: "archive", Methods: []string{http.MethodPost}, PathPrefix: "/images", Class: classifier.ClassStandard,
-				Timeout: longTimeout, Allowance: allowance,
-			}},
-		})
-	return f, server
+	return startDirect(t, server.wrap), server
 }
 
 // TestP2RefusalTwice guards against a request that is reported as not run although its
