--- a/core/quarantiner/record.go
+++ b/core/quarantiner/record.go
@@ -9,8 +9,8 @@
 	// MaxEnds is the number of servers that may end while running a request before
 	// it is put on probation. Further ones are not recorded.
 	MaxEnds = 3
-	// MaxTrials is the number of runs that a request on probation gets to show that
-	// it does no harm.
+	// MaxTrials is the number of trial runs of a request on probation under which the
+	// server may end before it is quarantined.
 	MaxTrials = 2
 )
 
@@ -28,7 +28,7 @@
 	// Ends holds the ids of the ends of servers that were running the request:
 	// ascending, without repetition, at most MaxEnds.
 	Ends []uint64
-	// Trials holds the ids of trial runs that did not complete: ascending, without
+	// Trials holds the ids of trial runs under which the server ended: ascending, without
 	// repetition, at most MaxTrials.
 	Trials []uint64
 }
@@ -39,7 +39,7 @@
 	return r
 }
 
-// WithTrial returns the record with a trial run that did not complete.
+// WithTrial returns the record with a trial run under which the server ended.
 func (r Record) WithTrial(id uint64) Record {
 	r.Trials = united(r.Trials, []uint64{id}, MaxTrials)
 	return r
--- a/core/quarantiner/table.go
+++ b/core/quarantiner/table.go
@@ -118,8 +118,8 @@
 	return t.change(key, func(r Record) Record { return r.WithEnd(end) })
 }
 
-// RecordTrial records that a trial run of a request did not complete, and returns
-// the new record. trial identifies the run among all nodes.
+// RecordTrial records that the server has ended under a trial run of a request, and
+// returns the new record. trial identifies the run among all nodes.
 func (t *Table) RecordTrial(key Key, trial uint64) Record {
 	return t.change(key, func(r Record) Record { return r.WithTrial(trial) })
 }
