--- a/core/arbiter/arbiter_test.go
+++ b/core/arbiter/arbiter_test.go
@@ -50,6 +50,8 @@
 			}
 		}
 	}
+	earlierClock := newer
+	earlierClock.StartMillis = 0 // The clock of the machine was set back between the runs.
 	restarted := newer
 	restarted.StartMillis, restarted.Written.Revision = 7, 3
 	for _, c := range []struct {
@@ -61,6 +63,7 @@
 		want [2][]string
 	}{
 		{"successor", server, newer, refute(), [2][]string{{"i-2"}, nil}},
+		{"successor that states the earlier start", server, earlierClock, refute(), [2][]string{{"i-2"}, nil}},
 		{"successor of a server that has left", left, newer, refute(), [2][]string{{"i-2"}, nil}},
 		{"foreign entry", server, newer, refute("i-2"), [2][]string{{"i-1"}, nil}},
 		{"foreign entry that is refused again and again", server, newer, refute("i-2", "i-2"), [2][]string{{"i-1"}, nil}},
