--- a/review/stand-3/main.go
+++ b/review/stand-3/main.go
@@ -26,7 +26,6 @@
 	"attempts": attempts,
 	"crowds":   crowds,
 	"trickle":  trickle,
-	"uploads":  uploads,
 }
 
 func main() {
