review: two homes give out the tokens of one limit (case 13)

Cause: a node that starts as a home gives out tokens at once, while the home before, which the store turns away, goes on for up to 3 s.

--- a/review/13/run.sh
+++ b/review/13/run.sh
@@ -5,4 +5,4 @@
 here=$(cd "$(dirname "$0")" && pwd)
 cd "$here/../.." || exit 2
 [ -x target/crocusd ] && [ -x target/stand3 ] || { echo "build first: the build line of deploy/system.toml, then review/build-3.sh"; exit 2; }
-exec target/stand3 attempts "$here/record.txt"
+exec target/stand3 quota "$here/record.txt"
--- a/review/stand-3/fleet.go
+++ b/review/stand-3/fleet.go
@@ -20,6 +20,7 @@
 	admin, app            string
 	settings              string
 	memory                string
+	store                 string // The address at which it reaches the store; empty for its own.
 	descriptors           int
 	cmd                   *exec.Cmd
 	exited                chan struct{}
@@ -141,7 +142,11 @@
 func (f *fleet) writeSettings(m *machine) error {
 	var b strings.Builder
 	fmt.Fprintf(&b, "Node:\n  Service: %q\n  Domain: %q\n  Region: \"mazowsze\"\n  Link: %q\n  Outbound: %q\n  Ready: %q\n  Admin: %q\n", m.service, m.zone, m.link, m.outbound, m.ready, m.admin)
-	fmt.Fprintf(&b, "Backend:\n  URL: \"http://%s\"\nPlatform:\n  Hosted: true\n  URL: \"http://%s\"\n  Bounds:\n", m.app, f.store.address)
+	storeAddress := f.store.address
+	if m.store != "" {
+		storeAddress = m.store
+	}
+	fmt.Fprintf(&b, "Backend:\n  URL: \"http://%s\"\nPlatform:\n  Hosted: true\n  URL: \"http://%s\"\n  Bounds:\n", m.app, storeAddress)
 	for _, bound := range f.bounds {
 		fmt.Fprintf(&b, "    - %q\n", bound)
 	}
--- a/review/stand-3/main.go
+++ b/review/stand-3/main.go
@@ -25,6 +25,7 @@
 var cases = map[string]func(rec *record, trouble bool) (broken bool, err error){
 	"attempts": attempts,
 	"crowds":   crowds,
+	"quota":    quota,
 	"trickle":  trickle,
 }
 
--- a/review/stand-3/upstream.go
+++ b/review/stand-3/upstream.go
@@ -234,6 +234,11 @@
 
 // send sends one request on a connection of its own and reads the answer.
 func send(m *machine, method, host, target, id string, budget time.Duration, body string) answer {
+	return sendWith(m, method, host, target, id, budget, body, "")
+}
+
+// sendWith sends one request with further header fields.
+func sendWith(m *machine, method, host, target, id string, budget time.Duration, body, fields string) answer {
 	begun := time.Now()
 	c, err := net.DialTimeout("tcp", m.outbound, time.Second)
 	if err != nil {
@@ -245,7 +250,7 @@
 	if method != http.MethodGet {
 		length = fmt.Sprintf("Content-Length: %d\r\n", len(body))
 	}
-	_, err = fmt.Fprintf(c, "%s %s HTTP/1.1\r\nHost: %s\r\nX-Attempt-Id: %s\r\nX-Deadline-Ms: %d\r\n%s\r\n%s", method, target, host, id, budget.Milliseconds(), length, body)
+	_, err = fmt.Fprintf(c, "%s %s HTTP/1.1\r\nHost: %s\r\nX-Attempt-Id: %s\r\nX-Deadline-Ms: %d\r\n%s%s\r\n%s", method, target, host, id, budget.Milliseconds(), length, fields, body)
 	if err != nil {
 		return answer{err: err, took: time.Since(begun)}
 	}
