--- a/review/stand-3/attempts.go
+++ b/review/stand-3/attempts.go
@@ -68,6 +68,7 @@
 				wg.Add(1)
 				go func() {
 					defer wg.Done()
+					rec.line("sent     %s", id)
 					a := send(m, "GET", "hulo84.example", "/leny950/"+id, id, 6*time.Second, "")
 					rec.line("answered %s: %d stamp %q error %v after %d ms", id, a.status, a.stamp, a.err, a.took.Milliseconds())
 				}()
--- a/review/stand-3/memory.go
+++ b/review/stand-3/memory.go
@@ -169,6 +169,8 @@
 	// it allows.
 	heldBytes   = 235_000
 	headerBytes = 16_384
+	// neededDescriptors are those of the crowds at two nodes, and some for the stand-ins.
+	neededDescriptors = 2*(heldBodies+halfHeads) + 1000
 	// The crowds come crowdRounds times, stay for crowdTime, and stay away for crowdPause.
 	crowdRounds = 3
 	crowdTime   = 4 * time.Second
@@ -178,6 +180,10 @@
 // crowds plays two crowds at two nodes: bodies that stop just short of their end, and heads
 // that stop half-way. Both come three times, and stay for four seconds.
 func crowds(rec *record, trouble bool) (bool, error) {
+	var limit syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit); err != nil || limit.Cur < neededDescriptors {
+		return false, fmt.Errorf("%d descriptors are needed, there are %d", neededDescriptors, limit.Cur)
+	}
 	f, err := startDoor(rec, 170*time.Millisecond, 4)
 	if err != nil {
 		return false, err
@@ -194,7 +200,7 @@
 		time.Sleep(crowdPause)
 		if trouble {
 			rec.line("trouble  the crowds come")
-			crowdOnce(attacked)
+			crowdOnce(rec, attacked)
 			rec.line("trouble  the crowds are gone")
 		}
 	}
@@ -219,27 +225,30 @@
 }
 
 // crowdOnce lets the crowds come to the nodes once.
-func crowdOnce(ms []*machine) {
+func crowdOnce(rec *record, ms []*machine) {
 	var stop atomic.Bool
 	var crowd sync.WaitGroup
-	again := func(n int, connect func(id string)) {
+	again := func(kind string, n int, connect func(id string)) {
 		for i := range n {
 			crowd.Add(1)
 			go func() {
 				defer crowd.Done()
 				for k := 0; !stop.Load(); k++ {
-					connect(fmt.Sprintf("c-%d-%d", i, k))
+					id := fmt.Sprintf("%s-%d-%d", kind, i, k)
+					rec.line("sent     %s without its end", id)
+					connect(id)
+					rec.line("ended    %s", id)
 					time.Sleep(200 * time.Millisecond)
 				}
 			}()
 		}
 	}
 	body := strings.Repeat("b", heldBytes-1)
-	for _, m := range ms {
-		again(heldBodies, func(id string) {
+	for n, m := range ms {
+		again(fmt.Sprintf("body-%d", n), heldBodies, func(id string) {
 			stopShort(m, fmt.Sprintf("POST /up/%s HTTP/1.1\r\nHost: hulo84.example\r\nX-Attempt-Id: %s\r\nX-Deadline-Ms: 8000\r\nContent-Length: %d\r\n\r\n%s", id, id, heldBytes, body), &stop)
 		})
-		again(halfHeads, func(id string) {
+		again(fmt.Sprintf("head-%d", n), halfHeads, func(id string) {
 			fields := fmt.Sprintf("Host: hulo84.example\r\nX-Attempt-Id: %s\r\nX-Pad: ", id)
 			fields += strings.Repeat("p", headerBytes-len(fields))
 			stopShort(m, "GET /look/"+id+" HTTP/1.1\r\n"+fields, &stop)
--- a/review/stand-3/trickle.go
+++ b/review/stand-3/trickle.go
@@ -52,7 +52,10 @@
 		go func() {
 			defer crowd.Done()
 			for n := 0; !stop.Load(); n++ {
-				sendSlowly(f.machines[i%len(f.machines)], fmt.Sprintf("slow-%d-%d", i, n), &stop)
+				id := fmt.Sprintf("slow-%d-%d", i, n)
+				rec.line("sent     %s, byte by byte", id)
+				sendSlowly(f.machines[i%len(f.machines)], id, &stop)
+				rec.line("ended    %s", id)
 				time.Sleep(200 * time.Millisecond)
 			}
 		}()
