--- a/review/stand-3/quota.go
+++ b/review/stand-3/quota.go
@@ -26,8 +26,8 @@
 	// oldMachines run at the beginning; those beyond them are added.
 	oldMachines   = 16
 	quotaMachines = 20
-	// hotTime is how long the tenant sends that much.
-	hotTime = 8 * time.Second
+	// hotTime is how long the tenant sends that much: for_s of the largest hot_tenant.
+	hotTime = 6500 * time.Millisecond
 	// rejectAt is when the store begins to turn machines away.
 	rejectAt = time.Second
 	// rejectTime is how long the store turns four of the machines away.
